--- /dev/null
+++ b/cli/src/main/kotlin/bergamotwall/cli/ExplainCommand.kt
@@ -0,0 +1,50 @@
+package bergamotwall.cli
+
+import bergamotwall.model.ExplainAnswer
+import bergamotwall.model.JournalEvent
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.ParentCommand
+import picocli.CommandLine.Spec
+import java.time.Instant
+import java.util.concurrent.Callable
+
+/** Explains what was decided, and why. */
+@Command(
+    name = "explain",
+    description = ["Show the decisions about a subject, from the journals of all nodes."],
+    mixinStandardHelpOptions = true,
+)
+internal class ExplainCommand : Callable<Int> {
+    @ParentCommand
+    private lateinit var root: RootCommand
+
+    @Spec
+    private lateinit var spec: CommandSpec
+
+    @Parameters(
+        paramLabel = "SUBJECT",
+        description = ["request/ID, group/ID, sample/ID, batch/TRAINER/N, replica/ID, revision/N, member/ID, duty/NAME."],
+    )
+    private lateinit var subject: String
+
+    override fun call(): Int {
+        val encoded = java.net.URLEncoder.encode(subject, Charsets.UTF_8)
+        val answer = root.client.get("/v1/operator/explain?subject=$encoded", ExplainAnswer.serializer())
+        return root.finish(answer, ExplainAnswer.serializer(), spec.commandLine().out, ::text)
+    }
+
+    private fun text(answer: ExplainAnswer): String {
+        val events = answer.events.map { line(it) }.ifEmpty { listOf("no node remembers a decision about ${answer.subject}") }
+        val missing = answer.unreachable.map { "no answer from $it: its decisions are missing here" }
+        return (events + missing).joinToString("\n")
+    }
+
+    private fun line(event: JournalEvent): String {
+        val because = event.cause.ifEmpty { "-" }
+        val seen = event.inputs.ifEmpty { "-" }
+        return "${Instant.ofEpochMilli(event.atMillis)} ${event.node.value} ${event.subject}: ${event.decision}\n" +
+            "    rule: ${event.rule}; cause: $because; seen: $seen"
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/bergamotwall/cli/StatusCommand.kt
@@ -0,0 +1,79 @@
+package bergamotwall.cli
+
+import bergamotwall.model.FleetStatus
+import bergamotwall.model.TrainerStatus
+import picocli.CommandLine.Command
+import picocli.CommandLine.Help
+import picocli.CommandLine.Help.Column
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.ParentCommand
+import picocli.CommandLine.Spec
+import java.util.concurrent.Callable
+
+private const val WIDTH = 18
+private const val PERCENT = 100
+
+/** Shows the fleet at a glance. */
+@Command(name = "status", description = ["Show trainers, shards, members and targets."], mixinStandardHelpOptions = true)
+internal class StatusCommand : Callable<Int> {
+    @ParentCommand
+    private lateinit var root: RootCommand
+
+    @Spec
+    private lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val status = root.client.get("/v1/operator/status", FleetStatus.serializer())
+        return root.finish(status, FleetStatus.serializer(), spec.commandLine().out, ::statusText)
+    }
+}
+
+/** [status] as tables. */
+internal fun statusText(status: FleetStatus): String {
+    val published = status.published.joinToString { "${it.model.value} at ${it.version.value}" }
+    return listOf(
+        "configuration revision ${status.configuration.revision.value}; published: $published",
+        table(trainerHead, status.nodes.flatMap { it.trainers }.map(::trainerRow)),
+        table(shardHead, status.nodes.flatMap { n -> n.shards.map { listOf(it.shard, n.node.value, it.targets, it.queued, it.running, it.capacity, it.reserved) } }),
+        table(memberHead, status.members.map { m -> listOf(m.id.value, m.role, m.dataCentre.value, m.state, m.httpAddress, dutiesOf(status, m.id.value)) }),
+        table(vmHead, status.vms.map { v -> listOf(v.id, v.serves, v.dataCentre.value, v.address, stateOf(status, v.id, v.leaving)) }),
+    ).joinToString("\n")
+}
+
+private val trainerHead = listOf("TRAINER", "BATCH", "READY", "IDLE", "STALENESS", "EXPIRED", "WAITS FOR")
+private val shardHead = listOf("SHARD", "OWNER", "TARGETS", "QUEUED", "RUNNING", "CAPACITY", "RESERVED")
+private val memberHead = listOf("MEMBER", "ROLE", "DATA CENTRE", "STATE", "ADDRESS", "DUTIES")
+private val vmHead = listOf("TARGET", "SERVES", "DATA CENTRE", "ADDRESS", "STATE")
+
+private fun trainerRow(t: TrainerStatus): List<Any> {
+    val idle = if (t.observedMillis == 0L) 0 else t.idleMillis * PERCENT / t.observedMillis
+    val waits = if (t.ready < t.wanted) "${t.wanted - t.ready} samples" else "nothing"
+    return listOf(t.name.value, t.batch, "${t.ready}/${t.wanted}", "$idle%", "${t.stalenessVersions} versions", t.expired, waits)
+}
+
+private fun dutiesOf(
+    status: FleetStatus,
+    node: String,
+): String = status.nodes.find { it.node.value == node }?.duties.orEmpty().joinToString()
+
+private fun stateOf(
+    status: FleetStatus,
+    id: String,
+    leaving: Boolean,
+): String =
+    when {
+        status.configuration.drains(id) -> "drained"
+        leaving -> "leaving"
+        else -> "serving"
+    }
+
+private fun table(
+    head: List<String>,
+    rows: List<List<Any>>,
+): String {
+    val columns = head.map { Column(WIDTH, 0, Column.Overflow.SPAN) }.toTypedArray()
+    val table = Help.TextTable.forColumns(Help.defaultColorScheme(Help.Ansi.OFF), *columns)
+    table.addRowValues(*head.toTypedArray())
+    rows.forEach { row -> table.addRowValues(*row.map { it.toString() }.toTypedArray()) }
+    return table.toString()
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/HandOver.kt
@@ -0,0 +1,67 @@
+package bergamotwall.decisions
+
+import bergamotwall.model.BatchOrder
+import bergamotwall.model.Manifest
+import bergamotwall.model.Sample
+import bergamotwall.model.WeightVersion
+
+/** Samples of a batch sorted by whether they may be handed over now. */
+public data class HandOver(val fresh: List<Sample>, val expired: List<Sample>, val missingByGroup: Map<Int, Int>) {
+    /** Whether every group has enough fresh samples. */
+    public val complete: Boolean get() = missingByGroup.isEmpty()
+}
+
+/** Whether [sample] may be handed over while [published] is the newest version and [bound] versions behind are allowed. */
+public fun isFresh(
+    sample: Sample,
+    published: WeightVersion,
+    bound: Int,
+): Boolean = sample.versions.isNotEmpty() && sample.versions.min().value >= published.value - bound
+
+/** Decides which of [samples] serve [order]; each group gets exactly as many as it asks for, in order of arrival. */
+public fun decideHandOver(
+    order: BatchOrder,
+    samples: List<Sample>,
+    published: WeightVersion,
+    bound: Int,
+): HandOver {
+    val (fresh, expired) = samples.distinctBy { it.id }.partition { isFresh(it, published, bound) }
+    val byGroup = fresh.groupBy { it.group }
+    val chosen = order.groups.flatMapIndexed { index, spec -> byGroup[index].orEmpty().take(spec.enough) }
+    val missing =
+        order.groups
+            .mapIndexed { index, spec -> index to spec.enough - byGroup[index].orEmpty().size }
+            .filter { it.second > 0 }
+            .toMap()
+    return HandOver(chosen, expired, missing)
+}
+
+/** What a trainer's order for a batch means, given the manifest that is committed. */
+public sealed interface BatchStep {
+    /** Hand out again what [manifest] names. */
+    public data class HandOutAgain(val manifest: Manifest) : BatchStep
+
+    /** Generate batch [number] as attempt [attempt]; batches below it are acknowledged by this order. */
+    public data class Generate(val number: Long, val attempt: Int) : BatchStep
+
+    /** The order does not follow the committed one. */
+    public data class OutOfOrder(val committed: Long) : BatchStep
+
+    /** The order differs from the one that batch [number] was committed for. */
+    public data class Changed(val number: Long) : BatchStep
+}
+
+/** Decides what the order for batch [number] with hash [orderHash] means while [committed] is the newest manifest. */
+public fun decideBatch(
+    number: Long,
+    orderHash: Long,
+    committed: Manifest?,
+): BatchStep =
+    when {
+        committed == null && number == 1L -> BatchStep.Generate(number, 1)
+        committed == null -> BatchStep.OutOfOrder(0)
+        number == committed.batch && orderHash != committed.orderHash -> BatchStep.Changed(number)
+        number == committed.batch -> BatchStep.HandOutAgain(committed)
+        number == committed.batch + 1 -> BatchStep.Generate(number, 1)
+        else -> BatchStep.OutOfOrder(committed.batch)
+    }
--- /dev/null
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Hashes.kt
@@ -0,0 +1,28 @@
+package bergamotwall.decisions
+
+import bergamotwall.model.Fingerprint
+import bergamotwall.model.NodeId
+import com.dynatrace.hash4j.hashing.Hashing
+
+private const val PREFIX_CHARS = 256
+
+/** 64-bit XXH3 hash of [text]. */
+public fun hashOf(text: String): Long = Hashing.xxh3_64().hashCharsToLong(text)
+
+/** Hash of the part of [prompt] that engines are likely to share in their caches. */
+public fun prefixOf(prompt: String): Long = hashOf(prompt.take(PREFIX_CHARS))
+
+/** Fingerprint of a request's content: independent of its caller, key and headers. */
+public fun fingerprintOf(
+    serves: String,
+    content: String,
+): Fingerprint = Fingerprint(hashOf("$serves\n$content"))
+
+/**
+ * Owner of [key] among [nodes] by rendezvous hashing (Thaler and Ravishankar, 1998): each node's loss moves only the
+ * keys that it owned. Null if [nodes] is empty.
+ */
+public fun ownerOf(
+    key: String,
+    nodes: Collection<NodeId>,
+): NodeId? = nodes.maxByOrNull { hashOf("$key@${it.value}") }
--- /dev/null
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/WaitEstimator.kt
@@ -0,0 +1,24 @@
+package bergamotwall.decisions
+
+/** Expected waiting time of a newcomer, from recent run times. Not thread-safe. */
+internal class WaitEstimator {
+    private val runMillis = Ewma(ALPHA)
+    private val waitMillis = Ewma(ALPHA)
+
+    fun ran(durationMillis: Long): Unit = runMillis.add(durationMillis.toDouble())
+
+    fun granted(waitedMillis: Long): Unit = waitMillis.add(waitedMillis.toDouble())
+
+    /** Expected wait behind [ahead] requests on [capacity] slots; zero while nothing is known. */
+    fun expectedMillis(
+        ahead: Int,
+        capacity: Int,
+    ): Long {
+        if (ahead == 0) return 0
+        return (runMillis.value * ahead / maxOf(1, capacity)).toLong()
+    }
+
+    private companion object {
+        private const val ALPHA = 0.1
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -0,0 +1,265 @@
+package bergamotwall.entry
+
+import bergamotwall.decisions.TailEstimator
+import bergamotwall.model.CallerIntent
+import bergamotwall.model.GroupSpec
+import bergamotwall.model.Jsons
+import bergamotwall.model.ModelIntent
+import bergamotwall.model.ModelName
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemDocument
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.RequestId
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.EnginePiece
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.jsonResponse
+import bergamotwall.runtime.problemResponse
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.toResultOr
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpResponseWriter
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.launch
+import java.util.UUID
+
+/** Serves `/v1/completions` and `/v1/chat/completions`. */
+internal class CompletionApi(
+    private val node: Node,
+    private val identity: Identity,
+    private val groups: GroupRunner,
+) {
+    /** What is needed to serve a call. */
+    private class Accepted(
+        val id: String,
+        val call: CompletionCall,
+        val caller: CallerIntent,
+        val model: ModelIntent,
+        val priorityClass: PriorityClass,
+        val deadlineMillis: Long,
+        val trace: String?,
+    )
+
+    fun serve(
+        context: ServiceRequestContext,
+        request: AggregatedHttpRequest,
+        read: (String) -> Result<CompletionCall, Problem>,
+    ): HttpResponse =
+        accept(request, read).fold(
+            success = { if (it.call.stream) streamed(context, it) else whole(context, it) },
+            failure = { refused(it) },
+        )
+
+    private fun accept(
+        request: AggregatedHttpRequest,
+        read: (String) -> Result<CompletionCall, Problem>,
+    ): Result<Accepted, Problem> =
+        binding {
+            val caller = identity.caller(request.headers()).bind()
+            val call = read(request.contentUtf8()).bind()
+            val name = ModelName(call.model)
+            val model =
+                node.board.configuration
+                    .read()
+                    .model(name)
+                    .toResultOr { Problem(ProblemKind.NOT_FOUND, "model ${call.model}: no confirmed intent names it") }
+                    .bind()
+            Accepted(
+                id = UUID.randomUUID().toString(),
+                call = call,
+                caller = caller,
+                model = model,
+                priorityClass = priorityOf(caller, request.headers()).bind(),
+                deadlineMillis = now() + deadlineOf(request.headers(), DEFAULT_DEADLINE_MILLIS).bind(),
+                trace = request.headers().get(TRACE_HEADER),
+            )
+        }
+
+    private fun whole(
+        context: ServiceRequestContext,
+        accepted: Accepted,
+    ): HttpResponse {
+        val answer = java.util.concurrent.CompletableFuture<HttpResponse>()
+        val collected = Collector(accepted)
+        val job =
+            node.scope.launch {
+                answer.complete(
+                    run(accepted, collected).fold(
+                        success = { jsonResponse(CompletionAnswer.serializer(), collected.answer()) },
+                        failure = { refused(it) },
+                    ),
+                )
+            }
+        context.whenRequestCancelling().thenAccept { job.cancel() }
+        return HttpResponse.of(answer)
+    }
+
+    private fun streamed(
+        context: ServiceRequestContext,
+        accepted: Accepted,
+    ): HttpResponse {
+        val writer = HttpResponse.streaming()
+        val streamer = Streamer(accepted, writer)
+        val job =
+            node.scope.launch {
+                run(accepted, streamer).fold(success = { streamer.finish() }, failure = { streamer.fail(it) })
+            }
+        context.whenRequestCancelling().thenAccept { job.cancel() }
+        writer.whenComplete().exceptionally { job.cancel().let { null } }
+        return writer
+    }
+
+    private suspend fun run(
+        accepted: Accepted,
+        listener: GroupListener,
+    ): Result<Unit, Problem> {
+        val spec = GroupSpec(accepted.call.prompt, accepted.call.n, accepted.call.enough, accepted.call.maxTokens)
+        val result = groups.run(accepted.id, spec, TailEstimator(), { orderOf(accepted, it) }, listener)
+        val outcome = result.fold({ "whole" }, { it.kind.slug })
+        node.metrics.requests.labelValues("model", outcome).inc()
+        return result
+    }
+
+    private fun orderOf(
+        accepted: Accepted,
+        number: Int,
+    ): GenerationOrder =
+        GenerationOrder(
+            request = RequestId("${accepted.id}/$number"),
+            flow = accepted.caller.name.value,
+            caller = accepted.caller.name,
+            priorityClass = accepted.priorityClass,
+            sequence = 0,
+            model = accepted.call.model,
+            prompt = accepted.call.prompt,
+            maxTokens = accepted.call.maxTokens,
+            minVersion = { oldestAllowed(accepted.model) },
+            deadlineMillis = accepted.deadlineMillis,
+            trace = accepted.trace,
+        )
+
+    private fun oldestAllowed(model: ModelIntent): WeightVersion {
+        val published = node.board.published.read().of(model.name)
+        return WeightVersion(published.value - model.allowedVersionsBehind)
+    }
+
+    private fun refused(problem: Problem): HttpResponse {
+        node.metrics.requests.labelValues("model", problem.kind.slug).inc()
+        return problemResponse(problem)
+    }
+
+    private fun now(): Long = node.clock.monotonicMillis()
+
+    /** Collects whole choices for an answer in one piece. */
+    private inner class Collector(private val accepted: Accepted) : GroupListener {
+        private val choices = ArrayList<Choice>()
+        private var tokens = 0
+
+        override suspend fun whole(
+            number: Int,
+            generation: Generation,
+        ): Boolean {
+            tokens += generation.tokens
+            val message = ChatMessage("assistant", generation.text)
+            val index = choices.size
+            choices +=
+                if (accepted.call.chat) {
+                    Choice(index, null, message, null, generation.finishReason, generation.versions)
+                } else {
+                    Choice(index, generation.text, null, null, generation.finishReason, generation.versions)
+                }
+            return true
+        }
+
+        override suspend fun failed(
+            number: Int,
+            problem: Problem,
+        ): Problem = problem
+
+        fun answer(): CompletionAnswer = answer(accepted, "", choices, Usage(tokens))
+    }
+
+    /** Writes pieces as server-sent events. A stream that is not whole ends without `[DONE]`. */
+    private inner class Streamer(private val accepted: Accepted, private val writer: HttpResponseWriter) : GroupListener {
+        private var started = false
+
+        override suspend fun piece(
+            number: Int,
+            piece: EnginePiece,
+        ) {
+            val delta = ChatMessage("assistant", piece.text).takeIf { accepted.call.chat }
+            val text = piece.text.takeUnless { accepted.call.chat }
+            send(Choice(number, text, null, delta, piece.finishReason, listOf(piece.version)))
+        }
+
+        override suspend fun whole(
+            number: Int,
+            generation: Generation,
+        ): Boolean = true
+
+        override suspend fun failed(
+            number: Int,
+            problem: Problem,
+        ): Problem = problem
+
+        suspend fun finish() {
+            start()
+            write("[DONE]")
+            writer.close()
+        }
+
+        fun fail(problem: Problem) {
+            if (!started) {
+                val response = problemResponse(problem).aggregate().join()
+                writer.tryWrite(response.headers())
+                writer.tryWrite(response.content())
+            } else {
+                val body = Jsons.wire.encodeToString(ProblemDocument.serializer(), ProblemDocument(problem))
+                writer.tryWrite(HttpData.ofUtf8("event: error\ndata: $body\n\n"))
+            }
+            writer.close()
+        }
+
+        private suspend fun send(choice: Choice) {
+            start()
+            val answer = answer(accepted, ".chunk", listOf(choice), null)
+            write(Jsons.wire.encodeToString(CompletionAnswer.serializer(), answer))
+        }
+
+        private fun start() {
+            if (started) return
+            started = true
+            writer.tryWrite(ResponseHeaders.builder(OK_STATUS).contentType(MediaType.EVENT_STREAM).build())
+        }
+
+        private suspend fun write(data: String) {
+            writer.tryWrite(HttpData.ofUtf8("data: $data\n\n"))
+            writer.whenConsumed().await()
+        }
+    }
+
+    private fun answer(
+        accepted: Accepted,
+        suffix: String,
+        choices: List<Choice>,
+        usage: Usage?,
+    ): CompletionAnswer {
+        val kind = if (accepted.call.chat) "chat.completion" else "text_completion"
+        val createdSeconds = node.clock.wallMillis() / MILLIS_PER_SECOND
+        return CompletionAnswer("cmpl-${accepted.id}", kind + suffix, createdSeconds, accepted.call.model, choices, usage)
+    }
+
+    private companion object {
+        private const val DEFAULT_DEADLINE_MILLIS = 60_000L
+        private const val MILLIS_PER_SECOND = 1_000L
+        private const val OK_STATUS = 200
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/EntriesApi.kt
@@ -0,0 +1,28 @@
+package bergamotwall.entry
+
+import bergamotwall.decisions.entryAddresses
+import bergamotwall.model.DataCentre
+import bergamotwall.model.NodeId
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.jsonResponse
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.QueryParams
+import kotlinx.serialization.Serializable
+
+/** One address to use. */
+@Serializable
+internal data class EntryAddress(val id: NodeId, val address: String, val dataCentre: DataCentre)
+
+/** Addresses to use, best first, for [ttlMillis]. */
+@Serializable
+internal data class EntryList(val entries: List<EntryAddress>, val ttlMillis: Long)
+
+/** Serves `GET /v1/entries`: which address to use. Parameters `dataCentre` and `affinity` steer the order. */
+internal class EntriesApi(private val node: Node) {
+    fun serve(query: QueryParams): HttpResponse {
+        val dataCentre = query.get("dataCentre")?.let { DataCentre(it) }
+        val members = entryAddresses(node.board.members.read(), dataCentre, query.get("affinity").orEmpty())
+        val entries = members.map { EntryAddress(it.id, it.httpAddress, it.dataCentre) }
+        return jsonResponse(EntryList.serializer(), EntryList(entries, node.settings.addressTtlMillis))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
@@ -0,0 +1,98 @@
+package bergamotwall.entry
+
+import bergamotwall.model.CompleteReceipt
+import bergamotwall.model.Finished
+import bergamotwall.model.NodeRole
+import bergamotwall.model.NodeStatus
+import bergamotwall.model.Offer
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.QueryReceipt
+import bergamotwall.model.ReserveReceipt
+import bergamotwall.model.Settings
+import bergamotwall.model.StatusQuery
+import bergamotwall.model.Withdraw
+import bergamotwall.platform.http.HttpEngineDriver
+import bergamotwall.platform.http.HttpServiceDriver
+import bergamotwall.platform.http.targetClient
+import bergamotwall.runtime.AggregatedHandler
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.aggregatedService
+import bergamotwall.runtime.runNode
+import com.linecorp.armeria.server.ServerBuilder
+import kotlin.system.exitProcess
+
+/** Starts an entry: the request path. */
+public fun Entry(settings: Settings): Node {
+    val node = Node(settings, NodeRole.ENTRY)
+    EntryWiring(node).start()
+    return node
+}
+
+private class EntryWiring(private val node: Node) {
+    private val client = targetClient()
+    private val engines = HttpEngineDriver(client)
+    private val fleet = FleetView(node.board)
+    private val hub = DispatchHub(node, fleet, engines)
+    private val permits = Permits(node, fleet, hub)
+    private val budgets = Budgets()
+    private val runner = GenerationRunner(node, permits, engines, budgets)
+    private val groups = GroupRunner(node, runner)
+    private val writer = ReceiptWriter(node.store, node.clock)
+    private val receipts = Receipts(node, fleet, writer)
+    private val identity = Identity(node.board)
+    private val coordinator =
+        BatchCoordinator(node, fleet, groups, SampleStores(node, fleet), Manifests(node.store))
+    private val completions = CompletionApi(node, identity, groups)
+    private val services = ServiceApi(node, identity, permits, HttpServiceDriver(client), receipts, budgets)
+    private val trainers = TrainerApi(node, identity, coordinator)
+    private val entries = EntriesApi(node)
+
+    fun start() {
+        writer.start(node.scope)
+        node.start({ message, _ -> answer(message) }, ::routes)
+        hub.start()
+    }
+
+    private suspend fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is Offer -> hub.offer(message)
+            is Withdraw -> hub.withdraw(message)
+            is Finished -> hub.finished(message)
+            is ReserveReceipt -> receipts.answer(message)
+            is CompleteReceipt -> receipts.answer(message)
+            is QueryReceipt -> receipts.answer(message)
+            is StatusQuery -> status()
+            else -> Node.notServed(message)
+        }
+
+    private suspend fun status(): NodeStatus =
+        NodeStatus(
+            node = node.settings.id,
+            configuration = node.board.configuration.read().revision,
+            vmList = node.board.vmList.read().revision,
+            trainers = coordinator.status(),
+            shards = hub.status(),
+        )
+
+    private fun routes(builder: ServerBuilder) {
+        builder.post("/v1/completions") { c, r -> completions.serve(c, r, ::readCompletion) }
+        builder.post("/v1/chat/completions") { c, r -> completions.serve(c, r, ::readChat) }
+        builder.post("/v1/trainers/{name}/batches/{number}") { c, r -> trainers.batch(c, r) }
+        builder.post("/v1/trainers/{name}/versions") { c, r -> trainers.publish(c, r) }
+        builder.service("/v1/entries") { c, _ -> entries.serve(c.queryParams()) }
+        builder.service("/services/{name}", aggregatedService(node.scope, services::serve))
+        builder.service("/services/{name}/{*rest}", aggregatedService(node.scope, services::serve))
+    }
+
+    private fun ServerBuilder.post(
+        path: String,
+        handler: AggregatedHandler,
+    ) {
+        route().post(path).build(aggregatedService(node.scope, handler))
+    }
+}
+
+/** Entry point of `bergamotwall-entry`. */
+public fun main(args: Array<String>) {
+    exitProcess(runNode("entry", args, ::Entry))
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
@@ -0,0 +1,32 @@
+package bergamotwall.entry
+
+import bergamotwall.model.CallerName
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.RequestId
+import bergamotwall.model.TargetId
+import bergamotwall.model.WeightVersion
+
+/** One generation to run. [minVersion] is the oldest version that may make it. */
+internal data class GenerationOrder(
+    val request: RequestId,
+    val flow: String,
+    val caller: CallerName,
+    val priorityClass: PriorityClass,
+    val sequence: Long,
+    val model: String,
+    val prompt: String,
+    val maxTokens: Int,
+    val minVersion: () -> WeightVersion,
+    val deadlineMillis: Long,
+    val trace: String?,
+)
+
+/** A whole generation. */
+internal data class Generation(
+    val text: String,
+    val tokens: Int,
+    val versions: List<WeightVersion>,
+    val engines: List<TargetId>,
+    val finishReason: String,
+    val durationMillis: Long,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/Manifests.kt
@@ -0,0 +1,77 @@
+package bergamotwall.entry
+
+import bergamotwall.model.Jsons
+import bergamotwall.model.Manifest
+import bergamotwall.model.ModelName
+import bergamotwall.model.TrainerName
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.Condition
+import bergamotwall.platform.KeyValueError
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.TransactionOutcome
+import bergamotwall.platform.Write
+import bergamotwall.runtime.SharedKeys
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+
+/** The committed manifest and the published version, with the revisions at which they were read. */
+internal data class HandOverState(
+    val manifest: Manifest?,
+    val manifestRevision: Long,
+    val published: WeightVersion,
+    val publishedRevision: Long,
+)
+
+/** Commits of batches to the key-value service. */
+internal class Manifests(private val store: KeyValueStore) {
+    suspend fun read(
+        trainer: TrainerName,
+        model: ModelName,
+    ): Result<HandOverState, KeyValueError> {
+        val manifest = store.get(SharedKeys.manifest(trainer)).fold({ it }, { return Err(it) })
+        val published = store.get(SharedKeys.published(model)).fold({ it }, { return Err(it) })
+        return Ok(
+            HandOverState(
+                manifest = manifest?.let { Jsons.wire.decodeFromString(Manifest.serializer(), it.value) },
+                manifestRevision = manifest?.modRevision ?: 0,
+                published = WeightVersion(published?.value?.toLong() ?: 0),
+                publishedRevision = published?.modRevision ?: 0,
+            ),
+        )
+    }
+
+    /**
+     * Commits [next] if neither the manifest nor the published version has changed since [state] was read. Returns
+     * whether it is committed; a lost answer is resolved by reading back.
+     */
+    suspend fun commit(
+        next: Manifest,
+        model: ModelName,
+        state: HandOverState,
+    ): Result<Boolean, KeyValueError> {
+        val key = SharedKeys.manifest(next.trainer)
+        val conditions =
+            listOf(
+                Condition.Unchanged(key, state.manifestRevision),
+                Condition.Unchanged(SharedKeys.published(model), state.publishedRevision),
+            )
+        val put = Write.Put(key, Jsons.wire.encodeToString(Manifest.serializer(), next))
+        return store.commit(Transaction(conditions, listOf(put))).fold(
+            success = { Ok(it is TransactionOutcome.Committed) },
+            failure = { readBack(next, model, it) },
+        )
+    }
+
+    private suspend fun readBack(
+        next: Manifest,
+        model: ModelName,
+        error: KeyValueError,
+    ): Result<Boolean, KeyValueError> =
+        read(next.trainer, model).fold(
+            success = { if (it.manifest == next) Ok(true) else Err(error) },
+            failure = { Err(it) },
+        )
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
@@ -0,0 +1,94 @@
+package bergamotwall.entry
+
+import bergamotwall.model.Finished
+import bergamotwall.model.Granted
+import bergamotwall.model.Offer
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.PeerRefusal
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.Withdraw
+import bergamotwall.runtime.Node
+import bergamotwall.decisions.backoffMillis
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+
+/** Gets permits from the owner of the shard, wherever that is. */
+internal class Permits(private val node: Node, private val fleet: FleetView, private val hub: DispatchHub) {
+    /** Waits for a permit until the offer's deadline. A failure means that the request did not run. */
+    suspend fun acquire(
+        offer: Offer,
+        trace: String?,
+    ): Result<Granted, Problem> {
+        val deadlineMillis = node.clock.monotonicMillis() + offer.deadlineInMillis
+        var attempt = 0
+        while (true) {
+            val leftMillis = deadlineMillis - node.clock.monotonicMillis()
+            if (leftMillis <= 0) return Err(Problem(ProblemKind.DEADLINE, "the deadline passed before a permit came"))
+            when (val answer = ask(offer.copy(deadlineInMillis = leftMillis), trace)) {
+                is Granted -> return Ok(answer)
+                is PeerRefusal -> return Err(answer.problem)
+                else -> delay(backoffMillis(attempt++, node.random))
+            }
+        }
+    }
+
+    /** Returns a permit. Goes on in the background, so that a cancelled request returns it too. */
+    fun finish(
+        finished: Finished,
+        prefix: Long,
+    ) {
+        node.scope.launch { tell(finished.serves, prefix, finished) }
+    }
+
+    private suspend fun ask(
+        offer: Offer,
+        trace: String?,
+    ): PeerMessage? {
+        val owner = ownerOf(offer.serves, offer.prefix)
+        if (owner == null || owner.id == node.id()) return hub.offer(offer)
+        var answered = false
+        try {
+            val answer = node.peers.ask(owner.peerAddress, offer, offer.deadlineInMillis, trace).get()
+            answered = true
+            return answer
+        } finally {
+            if (!answered) withContext(NonCancellable) { withdraw(offer, owner.peerAddress) }
+        }
+    }
+
+    private fun withdraw(
+        offer: Offer,
+        address: String,
+    ) {
+        node.scope.launch { node.peers.ask(address, Withdraw(offer.request), TELL_TIMEOUT_MILLIS) }
+    }
+
+    private suspend fun tell(
+        serves: String,
+        prefix: Long,
+        message: Finished,
+    ) {
+        val owner = ownerOf(serves, prefix)
+        if (owner == null || owner.id == node.id()) {
+            hub.finished(message)
+        } else {
+            node.peers.ask(owner.peerAddress, message, TELL_TIMEOUT_MILLIS)
+        }
+    }
+
+    private fun ownerOf(
+        serves: String,
+        prefix: Long,
+    ) = fleet.shardFor(serves, prefix)?.let { fleet.owner(it) }
+
+    private companion object {
+        private const val TELL_TIMEOUT_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
@@ -0,0 +1,168 @@
+package bergamotwall.entry
+
+import bergamotwall.model.Jsons
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.PeerRefusal
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.Receipt
+import bergamotwall.model.ReceiptState
+import bergamotwall.platform.Condition
+import bergamotwall.platform.KeyValueEntry
+import bergamotwall.platform.KeyValueError
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.LeaseId
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.TransactionOutcome
+import bergamotwall.platform.Write
+import bergamotwall.runtime.Clock
+import bergamotwall.runtime.SharedKeys
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+
+/**
+ * Writes receipts to the key-value service, many in one transaction (group commit).
+ *
+ * A reservation is put only if its key is absent, so two writers of one shard, or one that wakes after a pause, can
+ * never both reserve. Receipts go when the lease that they were written under does, after [retentionSeconds].
+ */
+internal class ReceiptWriter(
+    private val store: KeyValueStore,
+    private val clock: Clock,
+    private val retentionSeconds: Long = RETENTION_SECONDS,
+) {
+    private class Pending(val key: String, val receipt: Receipt, val reserve: Boolean) {
+        val answer = CompletableDeferred<PeerMessage>()
+    }
+
+    private class LeaseBucket(val lease: LeaseId, val grantedAtMillis: Long)
+
+    private val queue = Channel<Pending>(QUEUE_LENGTH)
+    private var bucket: LeaseBucket? = null
+
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) commit(nextBatch())
+        }
+    }
+
+    /** Reserves [key] for [receipt], or tells what is there. */
+    suspend fun reserve(
+        key: String,
+        receipt: Receipt,
+    ): PeerMessage = enqueue(Pending(key, receipt, reserve = true))
+
+    /** Puts [receipt] in place of the reservation that its sender holds. */
+    suspend fun replace(
+        key: String,
+        receipt: Receipt,
+    ): PeerMessage = enqueue(Pending(key, receipt, reserve = false))
+
+    private suspend fun enqueue(pending: Pending): PeerMessage {
+        if (queue.trySend(pending).isFailure) return refusal("the receipt queue is full")
+        return pending.answer.await()
+    }
+
+    private suspend fun nextBatch(): List<Pending> {
+        val batch = LinkedHashMap<String, Pending>()
+        val first = queue.receive()
+        batch[first.key] = first
+        while (batch.size < MAX_BATCH) {
+            val next = queue.tryReceive().getOrNull() ?: break
+            if (next.key in batch) {
+                commit(batch.values.toList())
+                batch.clear()
+            }
+            batch[next.key] = next
+        }
+        return batch.values.toList()
+    }
+
+    private suspend fun commit(batch: List<Pending>) {
+        if (batch.isEmpty()) return
+        val lease = currentLease()
+        if (lease == null) {
+            batch.forEach { it.answer.complete(refusal("the key-value service grants no lease")) }
+            return
+        }
+        store.commit(transaction(batch, lease)).fold(
+            success = { settle(batch, it) },
+            failure = { error -> batch.forEach { it.answer.complete(readBack(it, error)) } },
+        )
+    }
+
+    private suspend fun settle(
+        batch: List<Pending>,
+        outcome: TransactionOutcome,
+    ) {
+        when (outcome) {
+            is TransactionOutcome.Committed ->
+                batch.forEach { it.answer.complete(ReceiptState(it.receipt, reserved = true)) }
+            is TransactionOutcome.Declined -> {
+                val found = outcome.read.associateBy { it.key }
+                val (taken, free) = batch.partition { it.reserve && SharedKeys.receipt(it.key) in found }
+                taken.forEach { it.answer.complete(stateOf(it, found.getValue(SharedKeys.receipt(it.key)))) }
+                commit(free)
+            }
+        }
+    }
+
+    private suspend fun readBack(
+        pending: Pending,
+        error: KeyValueError,
+    ): PeerMessage {
+        val found = store.get(SharedKeys.receipt(pending.key)).get() ?: return refusal(error.detail)
+        return stateOf(pending, found)
+    }
+
+    private fun stateOf(
+        pending: Pending,
+        found: KeyValueEntry,
+    ): PeerMessage {
+        val receipt = Jsons.wire.decodeFromString(Receipt.serializer(), found.value)
+        return ReceiptState(receipt, reserved = receipt.nonce == pending.receipt.nonce)
+    }
+
+    private fun transaction(
+        batch: List<Pending>,
+        lease: LeaseId,
+    ): Transaction {
+        val reserves = batch.filter { it.reserve }.map { SharedKeys.receipt(it.key) }
+        return Transaction(
+            conditions = reserves.map { Condition.Absent(it) },
+            writes =
+                batch.map {
+                    val value = Jsons.wire.encodeToString(Receipt.serializer(), it.receipt)
+                    Write.Put(SharedKeys.receipt(it.key), value, lease)
+                },
+            orElseRead = reserves,
+        )
+    }
+
+    private suspend fun currentLease(): LeaseId? {
+        val now = clock.monotonicMillis()
+        val current = bucket
+        if (current != null && now - current.grantedAtMillis < BUCKET_MILLIS) return current.lease
+        val granted = store.grantLease(retentionSeconds + BUCKET_MILLIS / MILLIS_PER_SECOND).get()
+        if (granted != null) bucket = LeaseBucket(granted, now)
+        return granted
+    }
+
+    private fun refusal(detail: String): PeerMessage =
+        PeerRefusal(
+            Problem(ProblemKind.UNAVAILABLE, "no receipt could be kept: $detail", retryAfterMillis = RETRY_AFTER_MILLIS),
+        )
+
+    private companion object {
+        private const val RETENTION_SECONDS = 3_600L
+        private const val BUCKET_MILLIS = 60_000L
+        private const val MILLIS_PER_SECOND = 1_000L
+        private const val QUEUE_LENGTH = 4_096
+        private const val MAX_BATCH = 50
+        private const val RETRY_AFTER_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/model/src/main/kotlin/bergamotwall/model/DocumentProblem.kt
@@ -0,0 +1,12 @@
+package bergamotwall.model
+
+/** Why a settings or intent document was refused. [line] counts from 1. */
+public data class DocumentProblem(
+    val source: String,
+    val line: Int,
+    val field: String,
+    val message: String,
+    val fix: String
+) {
+    override fun toString(): String = "$source:$line: $field: $message. Fix: $fix"
+}
--- /dev/null
+++ b/model/src/main/kotlin/bergamotwall/model/IntentValidator.kt
@@ -0,0 +1,70 @@
+package bergamotwall.model
+
+/** Checks rules of an intent that its types cannot express. Returns every problem found, empty if it is valid. */
+public fun validateIntent(
+    intent: Intent,
+    text: String,
+    source: String,
+): List<DocumentProblem> {
+    val found = mutableListOf<DocumentProblem>()
+    val check = { ok: Boolean, field: String, message: String, fix: String ->
+        if (!ok) found += DocumentProblem(source, lineOfField(text, field), field, message, fix)
+    }
+    check(intent.name.isNotBlank(), "name", "is blank", "give the intent a name")
+    intent.models.forEach { validateModel(it, check) }
+    intent.trainers.forEach { validateTrainer(it, intent, check) }
+    val keys = intent.callers.map { it.key } + intent.trainers.map { it.key }
+    check(keys.all { it.isNotBlank() }, "key", "is blank", "give each caller and trainer a key")
+    check(keys.size == keys.toSet().size, "key", "is used twice", "give each caller and trainer a key of its own")
+    check(unique(intent.models.map { it.name }), "models", "names a model twice", "merge the two entries")
+    check(unique(intent.services.map { it.name }), "services", "names a service twice", "merge the two entries")
+    check(unique(intent.trainers.map { it.name }), "trainers", "names a trainer twice", "merge the two entries")
+    return found
+}
+
+private const val MAX_PERCENT = 100
+
+private fun unique(names: List<Any>): Boolean = names.size == names.toSet().size
+
+private fun validateModel(
+    model: ModelIntent,
+    check: (Boolean, String, String, String) -> Unit,
+) {
+    val percents = 0..MAX_PERCENT
+    check(model.allowedVersionsBehind >= 0, "allowedVersionsBehind", "is negative", "use 0 or more versions")
+    check(
+        model.availabilityFloorPercent in 0 until MAX_PERCENT,
+        "availabilityFloorPercent",
+        "is not in 0..99",
+        "use 0 to 99"
+    )
+    check(model.stalenessWeightPercent in percents, "stalenessWeightPercent", "is not in 0..100", "use 0 to 100")
+}
+
+private fun validateTrainer(
+    trainer: TrainerIntent,
+    intent: Intent,
+    check: (Boolean, String, String, String) -> Unit,
+) {
+    val model = intent.models.find { it.name == trainer.model }
+    check(
+        model != null,
+        "model",
+        "trainer ${trainer.name.value} names no model of this intent",
+        "add the model or correct the name"
+    )
+    check(trainer.stalenessBoundVersions >= 0, "stalenessBoundVersions", "is negative", "use 0 or more versions")
+    check(trainer.shareWeight > 0, "shareWeight", "is not positive", "use 1 or more")
+    val behind = model?.allowedVersionsBehind ?: trainer.stalenessBoundVersions
+    check(
+        behind >= trainer.stalenessBoundVersions,
+        "allowedVersionsBehind",
+        "is below stalenessBoundVersions of trainer ${trainer.name.value}, which contradicts it",
+        "raise allowedVersionsBehind or lower stalenessBoundVersions",
+    )
+}
+
+private fun lineOfField(
+    text: String,
+    field: String,
+): Int = 1 + text.take(text.indexOf("\"$field\"").coerceAtLeast(0)).count { it == '\n' }
--- /dev/null
+++ b/model/src/main/kotlin/bergamotwall/model/JournalEvent.kt
@@ -0,0 +1,15 @@
+package bergamotwall.model
+
+import kotlinx.serialization.Serializable
+
+/** One decision: what was decided about [subject], by which [rule], for which [cause], seeing which [inputs]. */
+@Serializable
+public data class JournalEvent(
+    val atMillis: Long,
+    val node: NodeId,
+    val subject: String,
+    val decision: String,
+    val rule: String,
+    val cause: String,
+    val inputs: String,
+)
--- /dev/null
+++ b/peers/src/main/kotlin/bergamotwall/peers/Envelope.kt
@@ -0,0 +1,14 @@
+package bergamotwall.peers
+
+import bergamotwall.model.PeerMessage
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Frame between two processes: the answer carries the [id] of its request. [trace] is a W3C `traceparent`. */
+@Serializable
+internal data class Envelope(
+    @SerialName("i") val id: Long,
+    @SerialName("a") val answer: Boolean,
+    @SerialName("t") val trace: String? = null,
+    @SerialName("b") val body: PeerMessage,
+)
--- /dev/null
+++ b/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
@@ -0,0 +1,106 @@
+package bergamotwall.peers
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.serialization.SerializationException
+import org.tinylog.Logger
+
+/** Listens for other processes. */
+public interface PeerServer : AutoCloseable {
+    /** Port that it listens on. */
+    public val port: Int
+}
+
+/** Starts to listen on [address], `host:port` (port 0 for any), and gives every message to [handler]. */
+public fun PeerServer(
+    address: String,
+    handler: PeerHandler,
+): PeerServer = KtorPeerServer(address, handler)
+
+internal class KtorPeerServer(address: String, private val handler: PeerHandler) : PeerServer {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val server =
+        runBlocking {
+            val local = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+            aSocket(selector).tcp().bind(local) { reuseAddress = true }
+        }
+
+    override val port: Int get() = (server.localAddress as InetSocketAddress).port
+
+    init {
+        scope.launch {
+            while (true) {
+                val socket = server.accept()
+                scope.launch { guarded(socket) }
+            }
+        }
+    }
+
+    override fun close() {
+        scope.cancel()
+        server.close()
+        selector.close()
+    }
+
+    private suspend fun guarded(socket: Socket) {
+        try {
+            serve(socket)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: SerializationException) {
+            Logger.warn("peer message refused, connection closed: {}", e.message)
+        } catch (
+            @Suppress("TooGenericExceptionCaught") e: Exception,
+        ) {
+            Logger.debug("peer connection ended: {}", e.message)
+        } finally {
+            socket.close()
+        }
+    }
+
+    private suspend fun serve(socket: Socket) =
+        coroutineScope {
+            val outgoing = Channel<ByteArray>(OUTGOING_FRAMES)
+            val permits = Semaphore(MAX_IN_FLIGHT)
+            val input = socket.openReadChannel()
+            val output = socket.openWriteChannel()
+            val writer = launch { for (frame in outgoing) output.writeFrame(frame) }
+            try {
+                while (true) {
+                    val envelope = decodeFrame(input.readFrame())
+                    permits.acquire()
+                    launch {
+                        try {
+                            val answer = handler.answer(envelope.body, envelope.trace)
+                            outgoing.send(encodeFrame(Envelope(envelope.id, true, null, answer)))
+                        } finally {
+                            permits.release()
+                        }
+                    }
+                }
+            } finally {
+                writer.cancel()
+                this@coroutineScope.cancel()
+            }
+        }
+
+    private companion object {
+        private const val OUTGOING_FRAMES = 1_024
+        private const val MAX_IN_FLIGHT = 4_096
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/SharedKeys.kt
@@ -0,0 +1,32 @@
+package bergamotwall.runtime
+
+import bergamotwall.model.ModelName
+import bergamotwall.model.PlanId
+import bergamotwall.model.TrainerName
+
+/** Keys of the fleet in the key-value service. */
+public object SharedKeys {
+    /** Prefix of what relays watch. */
+    public const val WATCHED: String = "bergamotwall/shared/"
+
+    /** The configuration. */
+    public const val CONFIGURATION: String = "${WATCHED}configuration"
+
+    /** Prefix of published versions. */
+    public const val PUBLISHED: String = "${WATCHED}published/"
+
+    /** Newest published version of [model]. */
+    public fun published(model: ModelName): String = PUBLISHED + model.value
+
+    /** Newest manifest of [trainer]. */
+    public fun manifest(trainer: TrainerName): String = "bergamotwall/manifests/${trainer.value}"
+
+    /** Plan [id], until it is confirmed or lapses. */
+    public fun plan(id: PlanId): String = "bergamotwall/plans/${id.value}"
+
+    /** Lease of the duty [name]. */
+    public fun duty(name: String): String = "bergamotwall/duties/$name"
+
+    /** Receipt of the idempotency key with [hash]. */
+    public fun receipt(hash: String): String = "bergamotwall/receipts/$hash"
+}
--- /dev/null
+++ b/samples/src/main/kotlin/bergamotwall/samples/SampleStore.kt
@@ -0,0 +1,114 @@
+package bergamotwall.samples
+
+import bergamotwall.model.Done
+import bergamotwall.model.FetchSamples
+import bergamotwall.model.NodeRole
+import bergamotwall.model.NodeStatus
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.PeerRefusal
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.ReleaseSamples
+import bergamotwall.model.SamplesFound
+import bergamotwall.model.Settings
+import bergamotwall.model.StatusQuery
+import bergamotwall.model.StoreSample
+import bergamotwall.model.TrainerName
+import bergamotwall.runtime.Decision
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.runNode
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import java.io.File
+import kotlin.system.exitProcess
+
+/** Starts a sample store: keeps sample bodies in the data folder until their trainer has acknowledged them. */
+public fun SampleStore(settings: Settings): Node {
+    val node = Node(settings, NodeRole.SAMPLES)
+    val folder = requireNotNull(settings.dataFolder) { "settings: dataFolder is missing: name the folder for samples" }
+    SampleStoreWiring(node, SampleLog(File(folder))).start()
+    return node
+}
+
+/** Serves the log: one coroutine owns it, and appends that wait together are forced to disk together. */
+private class SampleStoreWiring(private val node: Node, private val log: SampleLog) {
+    private class Task(val message: PeerMessage) {
+        val answer = CompletableDeferred<PeerMessage>()
+    }
+
+    private val tasks = Channel<Task>(QUEUE_LENGTH)
+
+    fun start() {
+        node.scope.launch(Dispatchers.IO) { while (true) serve(nextTasks()) }
+        node.start({ message, _ -> answer(message) }) { }
+    }
+
+    private suspend fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is StoreSample, is FetchSamples, is ReleaseSamples -> enqueue(Task(message))
+            is StatusQuery ->
+                NodeStatus(
+                    node.settings.id,
+                    node.board.configuration.read().revision,
+                    node.board.vmList.read().revision,
+                )
+            else -> Node.notServed(message)
+        }
+
+    private suspend fun enqueue(task: Task): PeerMessage {
+        if (tasks.trySend(task).isFailure) return refusal("the sample store is overloaded")
+        return task.answer.await()
+    }
+
+    private suspend fun nextTasks(): List<Task> {
+        val batch = mutableListOf(tasks.receive())
+        while (batch.size < MAX_BATCH) batch += tasks.tryReceive().getOrNull() ?: break
+        return batch
+    }
+
+    private fun serve(batch: List<Task>) {
+        val (stores, others) = batch.partition { it.message is StoreSample }
+        stores
+            .groupBy { (it.message as StoreSample).let { m -> BatchKey(m.trainer, m.batch) } }
+            .forEach { (key, group) -> storeAll(key, group) }
+        others.forEach { it.answer.complete(serveOne(it.message)) }
+    }
+
+    private data class BatchKey(val trainer: TrainerName, val batch: Long)
+
+    private fun storeAll(
+        key: BatchKey,
+        group: List<Task>,
+    ) {
+        val samples = group.map { (it.message as StoreSample).sample }
+        val answer = answerOf(log.append(key.trainer, key.batch, samples))
+        samples.forEach { node.journal.record(Decision("sample/${it.id.value}", "kept", "forced to disk", answer.toString())) }
+        group.forEach { it.answer.complete(answer) }
+    }
+
+    private fun serveOne(message: PeerMessage): PeerMessage =
+        when (message) {
+            is FetchSamples -> SamplesFound(log.find(message.trainer, message.batch))
+            is ReleaseSamples -> answerOf(log.release(message.trainer, message.batch))
+            else -> Node.notServed(message)
+        }
+
+    private fun answerOf(result: Result<Unit, SampleLogError>): PeerMessage =
+        result.fold({ Done }, { refusal("not kept: $it") })
+
+    private fun refusal(detail: String): PeerMessage = PeerRefusal(Problem(ProblemKind.UNAVAILABLE, detail))
+
+    private companion object {
+        private const val QUEUE_LENGTH = 4_096
+        private const val MAX_BATCH = 256
+    }
+}
+
+/** Entry point of `bergamotwall-samples`. */
+public fun main(args: Array<String>) {
+    exitProcess(runNode("samples", args, ::SampleStore))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/EngineModel.kt
@@ -0,0 +1,42 @@
+package bergamotwall.standins
+
+import bergamotwall.decisions.hashOf
+import kotlin.math.exp
+import kotlin.random.Random
+
+/** Lengths and times of the engine stand-in. */
+internal data class EngineModel(
+    val slots: Int,
+    val tokenMillis: Double,
+    val prefillMillis: Double,
+    val seed: Long,
+    val medianTokens: Int,
+    val tailSigma: Double,
+) {
+    /** Tokens that the request will have: log-normal with a long tail, the same whenever it is asked again. */
+    fun length(
+        prompt: String,
+        requestId: String,
+        maxTokens: Int,
+    ): Int {
+        val base = requestId.substringBeforeLast('.')
+        val random = java.util.Random(hashOf("$seed/$prompt/$base"))
+        val tokens = medianTokens * exp(tailSigma * random.nextGaussian())
+        return tokens.toInt().coerceIn(MIN_TOKENS, maxTokens)
+    }
+
+    /** Time of one decoding step while [running] requests share the batch. */
+    fun stepMillis(running: Int): Double = tokenMillis * (1 + BATCH_COST * running / slots)
+
+    /** Time before the first token. */
+    fun prefill(cached: Boolean): Double = if (cached) prefillMillis * CACHED_SHARE else prefillMillis
+
+    /** Random source for faults. */
+    fun random(): Random = Random(seed)
+
+    private companion object {
+        private const val MIN_TOKENS = 4
+        private const val BATCH_COST = 0.3
+        private const val CACHED_SHARE = 0.2
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueStandIn.kt
@@ -0,0 +1,184 @@
+package bergamotwall.standins
+
+import bergamotwall.model.Jsons
+import bergamotwall.platform.etcd.LeaseGrantRequest
+import bergamotwall.platform.etcd.LeaseKeepAliveResponse
+import bergamotwall.platform.etcd.LeaseRequest
+import bergamotwall.platform.etcd.LeaseResponse
+import bergamotwall.platform.etcd.RangeRequest
+import bergamotwall.platform.etcd.RangeResponse
+import bergamotwall.platform.etcd.TxnRequest
+import bergamotwall.platform.etcd.TxnResponse
+import bergamotwall.platform.etcd.WatchEvent
+import bergamotwall.platform.etcd.WatchRequest
+import bergamotwall.platform.etcd.WatchResponse
+import bergamotwall.platform.etcd.WatchResult
+import bergamotwall.runtime.AggregatedHandler
+import bergamotwall.runtime.aggregatedService
+import bergamotwall.runtime.jsonResponse
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpResponseWriter
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
+
+/** Faults of the key-value stand-in, until [untilMillis] of the epoch. */
+@Serializable
+public data class KeyValueFaults(
+    val outage: Boolean = false,
+    val slowMillis: Long = 0,
+    val lostAnswerPercent: Int = 0,
+    val untilMillis: Long = 0,
+)
+
+/** Calls served so far. */
+@Serializable
+public data class KeyValueCalls(val reads: Long, val writes: Long, val watches: Long)
+
+/** Stand-in for the platform's key-value service: a subset of the etcd v3 JSON gateway, with seeded faults. */
+public class KeyValueStandIn(address: String, seed: Long) : AutoCloseable {
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private val confined = Dispatchers.Default.limitedParallelism(1)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val state = KeyValueState { System.nanoTime() / NANOS_PER_MILLI }
+    private val faults = AtomicReference(KeyValueFaults())
+    private val random = Random(seed)
+    private val reads = AtomicLong()
+    private val writes = AtomicLong()
+    private val watches = AtomicLong()
+    private val server: Server = serverAt(address, ::routes)
+
+    /** Port that it listens on. */
+    public val port: Int get() = server.activeLocalPort()
+
+    /** Calls served so far; a waiting watch counts as one. */
+    public val calls: KeyValueCalls get() = KeyValueCalls(reads.get(), writes.get(), watches.get())
+
+    /** Puts [next] in force. */
+    public fun fail(next: KeyValueFaults): Unit = faults.set(next)
+
+    override fun close() {
+        scope.cancel()
+        server.stop().join()
+    }
+
+    private fun routes(builder: ServerBuilder) {
+        builder.call("/v3/kv/range", reads) { answer(it, RangeRequest.serializer(), RangeResponse.serializer()) { q -> state.range(q) } }
+        builder.call("/v3/kv/txn", writes) { answer(it, TxnRequest.serializer(), TxnResponse.serializer()) { q -> state.txn(q) } }
+        builder.call("/v3/lease/grant", writes) { body ->
+            answer(body, LeaseGrantRequest.serializer(), LeaseResponse.serializer()) { q ->
+                LeaseResponse(state.grant(q.ttlSeconds.toLong()).toString(), q.ttlSeconds)
+            }
+        }
+        builder.call("/v3/lease/keepalive", writes) { body ->
+            answer(body, LeaseRequest.serializer(), LeaseKeepAliveResponse.serializer()) { q ->
+                LeaseKeepAliveResponse(LeaseResponse(q.id, state.keepAlive(q.id.toLong()).toString()))
+            }
+        }
+        builder.call("/v3/lease/revoke", writes) { body ->
+            answer(body, LeaseRequest.serializer(), LeaseResponse.serializer()) { q ->
+                state.revoke(q.id.toLong())
+                LeaseResponse(q.id, "0")
+            }
+        }
+        builder.route().post("/v3/watch").build(aggregatedService(scope) { _, r -> watch(r) })
+        builder.post("/faults") { _, r ->
+            fail(Jsons.wire.decodeFromString(KeyValueFaults.serializer(), r.contentUtf8()))
+            HttpResponse.of(HttpStatus.OK)
+        }
+        builder.service("/calls") { _, _ -> jsonResponse(KeyValueCalls.serializer(), calls) }
+    }
+
+    private fun ServerBuilder.post(
+        path: String,
+        handler: AggregatedHandler,
+    ) {
+        route().post(path).build(aggregatedService(scope, handler))
+    }
+
+    private fun ServerBuilder.call(
+        path: String,
+        counter: AtomicLong,
+        block: suspend (String) -> HttpResponse,
+    ) = post(path) { _, request ->
+        counter.incrementAndGet()
+        val now = current()
+        if (now.slowMillis > 0) delay(now.slowMillis)
+        val lost = now.lostAnswerPercent > 0 && withContext(confined) { random.nextInt(PERCENT) } < now.lostAnswerPercent
+        if (now.outage) {
+            unavailable()
+        } else {
+            val answer = block(request.contentUtf8())
+            if (lost) unavailable() else answer
+        }
+    }
+
+    private suspend fun <Q, A> answer(
+        body: String,
+        requestFormat: KSerializer<Q>,
+        answerFormat: KSerializer<A>,
+        block: (Q) -> A,
+    ): HttpResponse {
+        val request = Jsons.wire.decodeFromString(requestFormat, body)
+        return jsonResponse(answerFormat, withContext(confined) { block(request) })
+    }
+
+    private fun watch(request: AggregatedHttpRequest): HttpResponse {
+        watches.incrementAndGet()
+        if (current().outage) return unavailable()
+        val create = Jsons.wire.decodeFromString(WatchRequest.serializer(), request.contentUtf8()).create
+        val writer = HttpResponse.streaming()
+        writer.tryWrite(ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON).build())
+        val job =
+            scope.launch {
+                var from = create.startRevision.toLong()
+                while (!current().outage) {
+                    val events = withContext(confined) { state.changes(create.key, create.rangeEnd, from) }
+                    if (events.isNotEmpty()) {
+                        send(writer, WatchResult(events = events.map { WatchEvent("PUT", it) }))
+                        from = events.maxOf { it.modRevision.toLong() } + 1
+                    }
+                    delay(WATCH_POLL_MILLIS)
+                }
+                writer.close()
+            }
+        writer.whenComplete().handle { _, _ -> job.cancel() }
+        return writer
+    }
+
+    private fun send(
+        writer: HttpResponseWriter,
+        result: WatchResult,
+    ) {
+        val line = Jsons.wire.encodeToString(WatchResponse.serializer(), WatchResponse(result))
+        writer.tryWrite(HttpData.ofUtf8(line + "\n"))
+    }
+
+    private fun current(): KeyValueFaults =
+        faults.get().takeIf { it.untilMillis > System.currentTimeMillis() } ?: KeyValueFaults()
+
+    private fun unavailable(): HttpResponse = HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)
+
+    private companion object {
+        private const val NANOS_PER_MILLI = 1_000_000L
+        private const val WATCH_POLL_MILLIS = 20L
+        private const val PERCENT = 100
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
@@ -0,0 +1,115 @@
+package bergamotwall.standins
+
+import bergamotwall.platform.etcd.Compare
+import bergamotwall.platform.etcd.EtcdKeyValue
+import bergamotwall.platform.etcd.RequestOp
+import bergamotwall.platform.etcd.ResponseHeader
+import bergamotwall.platform.etcd.ResponseOp
+import bergamotwall.platform.etcd.RangeRequest
+import bergamotwall.platform.etcd.RangeResponse
+import bergamotwall.platform.etcd.TxnRequest
+import bergamotwall.platform.etcd.TxnResponse
+import java.util.TreeMap
+
+/** State of the key-value stand-in, with the semantics of the etcd v3 API that the fleet uses. Not thread-safe. */
+internal class KeyValueState(private val nowMillis: () -> Long) {
+    private class Lease(val ttlMillis: Long, var expiresAtMillis: Long)
+
+    private val entries = TreeMap<String, EtcdKeyValue>()
+    private val history = ArrayList<EtcdKeyValue>()
+    private val leases = HashMap<Long, Lease>()
+    private var nextLease = 1L
+
+    var revision = 1L
+        private set
+
+    fun range(request: RangeRequest): RangeResponse {
+        expire()
+        val end = request.rangeEnd
+        val found =
+            if (end == null) {
+                listOfNotNull(entries[request.key])
+            } else {
+                entries.values.filter { inRange(it.key, request.key, end) }
+            }
+        return RangeResponse(header(), found)
+    }
+
+    fun txn(request: TxnRequest): TxnResponse {
+        expire()
+        val succeeded = request.compare.all { holds(it) }
+        val operations = if (succeeded) request.success else request.failure
+        if (operations.any { it.put != null || it.delete != null }) revision++
+        val responses = operations.map { apply(it) }
+        return TxnResponse(header(), succeeded, responses)
+    }
+
+    fun grant(ttlSeconds: Long): Long {
+        expire()
+        val id = nextLease++
+        leases[id] = Lease(ttlSeconds * MILLIS, nowMillis() + ttlSeconds * MILLIS)
+        return id
+    }
+
+    /** Seconds that [lease] has after the renewal; 0 if it has lapsed. */
+    fun keepAlive(lease: Long): Long {
+        expire()
+        val held = leases[lease] ?: return 0
+        held.expiresAtMillis = nowMillis() + held.ttlMillis
+        return held.ttlMillis / MILLIS
+    }
+
+    fun revoke(lease: Long) {
+        leases.remove(lease) ?: return
+        dropOf(lease)
+    }
+
+    /** Entries put under [key] to [end] from [fromRevision] on. */
+    fun changes(
+        key: String,
+        end: String,
+        fromRevision: Long,
+    ): List<EtcdKeyValue> = history.filter { it.modRevision.toLong() >= fromRevision && inRange(it.key, key, end) }
+
+    fun header(): ResponseHeader = ResponseHeader(revision.toString())
+
+    private fun apply(operation: RequestOp): ResponseOp {
+        operation.put?.let { put ->
+            val created = entries[put.key]?.createRevision ?: revision.toString()
+            val entry = EtcdKeyValue(put.key, put.value, created, revision.toString(), put.lease ?: "0")
+            entries[put.key] = entry
+            history += entry
+        }
+        operation.delete?.let { entries.remove(it.key) }
+        return ResponseOp(operation.range?.let { range(it) })
+    }
+
+    private fun holds(compare: Compare): Boolean {
+        val entry = entries[compare.key]
+        val wanted = compare.modRevision ?: compare.createRevision ?: "0"
+        val actual = if (compare.target == "MOD") entry?.modRevision else entry?.createRevision
+        return (actual ?: "0") == wanted
+    }
+
+    private fun expire() {
+        val over = leases.filterValues { it.expiresAtMillis <= nowMillis() }.keys.toList()
+        over.forEach { revoke(it) }
+    }
+
+    private fun dropOf(lease: Long) {
+        if (entries.values.removeIf { it.lease == lease.toString() }) revision++
+    }
+
+    /** Order of base64 texts equals that of the bytes only after decoding. */
+    private fun inRange(
+        key: String,
+        from: String,
+        to: String,
+    ): Boolean = decoded(key) >= decoded(from) && decoded(key) < decoded(to)
+
+    private fun decoded(text: String): String = String(java.util.Base64.getDecoder().decode(text))
+
+    private companion object {
+        private const val MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/Records.kt
@@ -0,0 +1,42 @@
+package bergamotwall.standins
+
+import bergamotwall.model.Jsons
+import kotlinx.serialization.KSerializer
+import java.io.File
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Append-only record of what a stand-in saw, one JSON document a line. */
+internal class Records<T>(file: File, private val format: KSerializer<T>) : AutoCloseable {
+    private val out = file.apply { parentFile?.mkdirs() }.appendingWriter()
+    private val writer = Executors.newSingleThreadExecutor()
+
+    fun add(record: T) {
+        writer.execute {
+            out.write(Jsons.wire.encodeToString(format, record) + "\n")
+            out.flush()
+        }
+    }
+
+    override fun close() {
+        writer.shutdown()
+        writer.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS)
+        out.close()
+    }
+
+    companion object {
+        private const val CLOSE_SECONDS = 5L
+
+        /** All records in [file]; a torn last line is left out. */
+        fun <T> read(
+            file: File,
+            format: KSerializer<T>,
+        ): List<T> =
+            file
+                .readLines()
+                .filter { it.endsWith("}") }
+                .map { Jsons.wire.decodeFromString(format, it) }
+    }
+}
+
+private fun File.appendingWriter() = java.io.FileWriter(this, true).buffered()
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/ServerCommands.kt
@@ -0,0 +1,124 @@
+package bergamotwall.standins
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.io.File
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+
+private const val HALT_CODE = 137
+
+/** Waits for SIGTERM, then closes [server]. */
+private fun serve(server: AutoCloseable): Int {
+    val stopped = CountDownLatch(1)
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            server.close()
+            stopped.countDown()
+        },
+    )
+    stopped.await()
+    return 0
+}
+
+/** Runs an engine. */
+@Command(name = "engine")
+internal class EngineCommand : Callable<Int> {
+    @Option(names = ["--id"], required = true)
+    lateinit var id: String
+
+    @Option(names = ["--address"], required = true)
+    lateinit var address: String
+
+    @Option(names = ["--model"], required = true)
+    lateinit var model: String
+
+    @Option(names = ["--weights"])
+    var weights: String? = null
+
+    @Option(names = ["--slots"])
+    var slots = 8
+
+    @Option(names = ["--token-millis"])
+    var tokenMillis = 4.0
+
+    @Option(names = ["--swap-fail-percent"])
+    var swapFailPercent = 0
+
+    @Option(names = ["--checks-fencing"])
+    var checksFencing = false
+
+    @Option(names = ["--seed"])
+    var seed = 1L
+
+    override fun call(): Int =
+        serve(
+            EngineStandIn(
+                EngineOptions(
+                    id = id,
+                    address = address,
+                    model = model,
+                    slots = slots,
+                    tokenMillis = tokenMillis,
+                    swapFailPercent = swapFailPercent,
+                    checksFencing = checksFencing,
+                    weightStoreAddress = weights,
+                    seed = seed,
+                ),
+            ) { Runtime.getRuntime().halt(HALT_CODE) },
+        )
+}
+
+/** Runs a plain service. */
+@Command(name = "service")
+internal class ServiceCommand : Callable<Int> {
+    @Option(names = ["--id"], required = true)
+    lateinit var id: String
+
+    @Option(names = ["--address"], required = true)
+    lateinit var address: String
+
+    @Option(names = ["--records"], required = true)
+    lateinit var records: File
+
+    override fun call(): Int = serve(ServiceStandIn(id, address, records))
+}
+
+/** Runs a key-value service. */
+@Command(name = "kv")
+internal class KeyValueCommand : Callable<Int> {
+    @Option(names = ["--address"], required = true)
+    lateinit var address: String
+
+    @Option(names = ["--seed"])
+    var seed = 1L
+
+    override fun call(): Int = serve(KeyValueStandIn(address, seed))
+}
+
+/** Runs a VM list. */
+@Command(name = "vms")
+internal class VmListCommand : Callable<Int> {
+    @Option(names = ["--address"], required = true)
+    lateinit var address: String
+
+    @Option(names = ["--lag-millis"])
+    var lagMillis = 500L
+
+    override fun call(): Int = serve(VmListStandIn(address, lagMillis))
+}
+
+/** Runs a weight store. */
+@Command(name = "weights")
+internal class WeightStoreCommand : Callable<Int> {
+    @Option(names = ["--address"], required = true)
+    lateinit var address: String
+
+    @Option(names = ["--max-loads"])
+    var maxLoads = 2
+
+    @Option(names = ["--load-millis"])
+    var loadMillis = 100L
+
+    override fun call(): Int = serve(WeightStoreStandIn(address, maxLoads, loadMillis))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/Servers.kt
@@ -0,0 +1,28 @@
+package bergamotwall.standins
+
+import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
+import java.net.InetSocketAddress
+import java.time.Duration
+
+private const val QUIET_MILLIS = 100L
+private const val STOP_MILLIS = 1_000L
+
+/** Starts a server at [address], `host:port` (port 0 for any), with [routes]. */
+internal fun serverAt(
+    address: String,
+    routes: (ServerBuilder) -> Unit,
+): Server {
+    val host = address.substringBeforeLast(':')
+    val port = address.substringAfterLast(':').toInt()
+    val builder =
+        Server
+            .builder()
+            .http(InetSocketAddress(host, port))
+            .requestTimeoutMillis(0)
+            .maxRequestLength(0)
+            .gracefulShutdownTimeout(Duration.ofMillis(QUIET_MILLIS), Duration.ofMillis(STOP_MILLIS))
+            .service("/healthz") { _, _ -> com.linecorp.armeria.common.HttpResponse.of("ok") }
+    routes(builder)
+    return builder.build().also { it.start().join() }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/ServiceStandIn.kt
@@ -0,0 +1,73 @@
+package bergamotwall.standins
+
+import bergamotwall.model.Jsons
+import bergamotwall.model.TargetReport
+import bergamotwall.runtime.aggregatedService
+import bergamotwall.runtime.jsonResponse
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.Server
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import java.io.File
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Answer of the service stand-in: the key it ran. */
+@Serializable
+internal data class ServiceEcho(val key: String, val instance: String)
+
+/** Stand-in for a plain service: records each run of a write, so that repeated runs show. */
+public class ServiceStandIn(
+    private val id: String,
+    address: String,
+    recordsFolder: File,
+    private val workMillis: Long = DEFAULT_WORK_MILLIS,
+) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val records = Records(File(recordsFolder, "service-$id.jsonl"), ServiceRun.serializer())
+    private val running = AtomicInteger()
+    private val bootId = UUID.randomUUID().toString()
+    private val server: Server =
+        serverAt(address) { builder ->
+            builder.service("/admin/report") { _, _ -> jsonResponse(TargetReport.serializer(), report()) }
+            builder.serviceUnder("/", aggregatedService(scope) { _, r -> work(r) })
+        }
+
+    /** Port that it listens on. */
+    public val port: Int get() = server.activeLocalPort()
+
+    override fun close() {
+        server.stop().join()
+        scope.cancel()
+        records.close()
+    }
+
+    private fun report(): TargetReport = TargetReport(running = running.get(), slots = SLOTS, bootId = bootId)
+
+    private suspend fun work(request: AggregatedHttpRequest): HttpResponse {
+        running.incrementAndGet()
+        try {
+            val key = request.headers().get("idempotency-key").orEmpty()
+            val write = request.method() == HttpMethod.POST
+            if (write) records.add(ServiceRun(id, key, request.path(), System.currentTimeMillis()))
+            delay(workMillis)
+            val body = Jsons.wire.encodeToString(ServiceEcho.serializer(), ServiceEcho(key, id))
+            return HttpResponse.of(HttpStatus.OK, MediaType.JSON_UTF_8, body)
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private companion object {
+        private const val DEFAULT_WORK_MILLIS = 15L
+        private const val SLOTS = 32
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/TrainerStandIn.kt
@@ -0,0 +1,139 @@
+package bergamotwall.standins
+
+import bergamotwall.model.Batch
+import bergamotwall.model.BatchOrder
+import bergamotwall.model.GroupSpec
+import bergamotwall.model.Jsons
+import com.linecorp.armeria.common.HttpStatus
+import kotlinx.coroutines.delay
+import java.io.File
+import kotlin.random.Random
+
+/** Settings of the trainer stand-in. */
+public data class TrainerOptions(
+    val name: String,
+    val key: String,
+    val model: String,
+    val entries: List<String>,
+    val publishes: Boolean,
+    val bound: Int,
+    val groups: Int = 4,
+    val n: Int = 6,
+    val enough: Int = 4,
+    val maxTokens: Int = 300,
+    val trainMillis: Long = 300,
+    val runMillis: Long = 10_000,
+    val seed: Long = 1,
+)
+
+/** Result of a trainer's run. */
+public data class TrainerResult(val batches: Int, val idleMillis: Long, val totalMillis: Long, val ages: List<Long>)
+
+/** Stand-in for a trainer: orders batches, checks every sample, trains, publishes the next version. */
+public class TrainerStandIn(private val options: TrainerOptions, folder: File) {
+    private val picker = EntryPicker(options.entries, "trainer/${options.name}")
+    private val calls = Calls(options.key)
+    private val batches = Records(File(folder, "trainer-${options.name}.jsonl"), BatchRecord.serializer())
+    private val published = Records(File(folder, "publish-${options.name}.jsonl"), PublishRecord.serializer())
+    private val random = Random(options.seed)
+    private var version = 0L
+
+    /** Runs for the stated time, then until the open batch is taken. */
+    public suspend fun run(): TrainerResult {
+        val startNanos = System.nanoTime()
+        val ages = ArrayList<Long>()
+        var idleMillis = 0L
+        var number = 0L
+        if (options.publishes) publish(++version)
+        while (millisSince(startNanos) < options.runMillis) {
+            number++
+            val order = order(number)
+            val orderedNanos = System.nanoTime()
+            val orderedAtMillis = System.currentTimeMillis()
+            val batch = take(number, order)
+            val waited = millisSince(orderedNanos)
+            idleMillis += waited
+            ages += batch.samples.map { batch.published.value - it.versions.min().value }
+            batches.add(record(batch, order, waited, orderedAtMillis))
+            delay(options.trainMillis)
+            if (options.publishes) publish(++version)
+        }
+        batches.close()
+        published.close()
+        return TrainerResult(number.toInt(), idleMillis, millisSince(startNanos), ages)
+    }
+
+    private fun order(number: Long): BatchOrder =
+        BatchOrder(
+            List(options.groups) {
+                val prompt = "step $number of ${options.name}: draft plan ${random.nextInt(PROMPTS)}-$it"
+                GroupSpec(prompt, options.n, options.enough, options.maxTokens)
+            },
+        )
+
+    private suspend fun take(
+        number: Long,
+        order: BatchOrder,
+    ): Batch {
+        val body = Jsons.wire.encodeToString(BatchOrder.serializer(), order)
+        var direct: String? = null
+        while (true) {
+            val address = picker.address()
+            val url = direct ?: "http://$address/v1/trainers/${options.name}/batches/$number"
+            val reply = calls.post(url, body, ORDER_TIMEOUT_MILLIS)
+            direct = reply.answer?.headers()?.get("location")
+            when (reply.answer?.status()) {
+                HttpStatus.OK -> return Jsons.wire.decodeFromString(Batch.serializer(), reply.answer.contentUtf8())
+                HttpStatus.ACCEPTED, HttpStatus.TEMPORARY_REDIRECT -> Unit
+                null -> picker.failed(address)
+                else -> delay(reply.problem?.retryAfterMillis ?: RETRY_MILLIS)
+            }
+        }
+    }
+
+    private suspend fun publish(next: Long) {
+        while (true) {
+            val address = picker.address()
+            val url = "http://$address/v1/trainers/${options.name}/versions"
+            val reply = calls.post(url, "{\"version\": $next}", PUBLISH_TIMEOUT_MILLIS)
+            if (reply.answer?.status() == HttpStatus.OK) break
+            if (reply.answer == null) picker.failed(address)
+            delay(reply.problem?.retryAfterMillis ?: RETRY_MILLIS)
+        }
+        published.add(PublishRecord(options.model, next, System.currentTimeMillis()))
+    }
+
+    private fun record(
+        batch: Batch,
+        order: BatchOrder,
+        waitedMillis: Long,
+        orderedAtMillis: Long,
+    ): BatchRecord {
+        val oldest = batch.samples.minOfOrNull { s -> s.versions.min().value } ?: 0
+        val newest = maxOf(version, batch.published.value)
+        return BatchRecord(
+            trainer = options.name,
+            batch = batch.batch,
+            samples = batch.samples.map { it.id.value },
+            mislabelled = batch.samples.count { s -> s.versions.map { it.value } != TokenText.versions(s.text) },
+            wrong = batch.samples.count { !TokenText.isWhole(it.text, order.groups[it.group].prompt) },
+            tooStale = batch.samples.count { s -> s.versions.min().value < newest - options.bound },
+            short = order.groups.indices.sumOf { g -> maxOf(0, order.groups[g].enough - batch.samples.count { it.group == g }) },
+            waitedMillis = waitedMillis,
+            ageVersions = batch.samples.map { newest - it.versions.min().value },
+            atMillis = System.currentTimeMillis(),
+            orderedAtMillis = orderedAtMillis,
+            oldestVersion = oldest,
+        )
+    }
+
+    private fun millisSince(nanos: Long): Long = (System.nanoTime() - nanos) / NANOS_PER_MILLI
+
+    private companion object {
+        private const val PROMPTS = 1_000_000
+        private const val ORDER_TIMEOUT_MILLIS = 15_000L
+        private const val PUBLISH_TIMEOUT_MILLIS = 3_000L
+        private const val RETRY_MILLIS = 200L
+        private const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
@@ -0,0 +1,73 @@
+package bergamotwall.standins
+
+import kotlinx.serialization.Serializable
+import java.io.File
+
+/** What the stand-ins' own records say of a run. The promises held if every broken count is zero. */
+@Serializable
+internal data class Verdict(
+    val samplesDelivered: Int,
+    val batches: Int,
+    val doubled: Int,
+    val lost: Int,
+    val mislabelled: Int,
+    val wrongAnswers: Int,
+    val tooStale: Int,
+    val cutOff: Int,
+    val ranTwice: Int,
+    val falseNotRun: Int,
+    val reverted: Int,
+    val applicationRequests: Int,
+    val serviceRuns: Int,
+    val unknownOutcomes: Int,
+    val refusedAttempts: Int,
+    val cutByFaults: Int,
+    val cancelledStragglers: Int,
+    val versionsPublished: Int,
+    val faultsInjected: Int,
+    val idleShare: Double,
+    val medianStalenessVersions: Long,
+    val applicationP99Millis: Long,
+) {
+    /** Whether every promise that callers can check held, and there was work to check. */
+    val held: Boolean
+        get() =
+            listOf(doubled, lost, mislabelled, wrongAnswers, tooStale, cutOff, ranTwice, falseNotRun, reverted).all { it == 0 } &&
+                samplesDelivered > 0 &&
+                applicationRequests > 0 &&
+                serviceRuns > 0
+}
+
+/** Reads the records in [folder]; [cancelled] is what the entries counted. */
+internal fun verdictOf(
+    folder: File,
+    cancelled: Int,
+): Verdict {
+    val records = RunRecords(folder)
+    val cuts = records.calls.filter { it.outcome == CallOutcome.CUT }
+    val (byFault, unexplained) = cuts.partition { records.explainedByFault(it) }
+    return Verdict(
+        samplesDelivered = records.batches.sumOf { it.samples.size },
+        batches = records.batches.size,
+        doubled = records.doubledSamples(),
+        lost = records.batches.sumOf { it.short } + records.batchGaps() + records.lostRuns(),
+        mislabelled = records.batches.sumOf { it.mislabelled } + records.count(CallOutcome.MISLABELLED),
+        wrongAnswers = records.batches.sumOf { it.wrong } + records.count(CallOutcome.WRONG),
+        tooStale = records.batches.sumOf { it.tooStale } + records.staleForOthers(),
+        cutOff = unexplained.size,
+        ranTwice = records.runsByKey.count { it.value.size > 1 },
+        falseNotRun = records.falseNotRun(),
+        reverted = records.reverted(),
+        applicationRequests = records.count(CallOutcome.WHOLE),
+        serviceRuns = records.runsByKey.size,
+        unknownOutcomes = records.count(CallOutcome.UNKNOWN),
+        refusedAttempts = records.count(CallOutcome.NOT_RUN),
+        cutByFaults = byFault.size,
+        cancelledStragglers = cancelled,
+        versionsPublished = records.published.size,
+        faultsInjected = records.faults.count { it.kind != "planned" },
+        idleShare = records.idleShare(),
+        medianStalenessVersions = records.medianAge(),
+        applicationP99Millis = records.p99Millis(),
+    )
+}
