--- a/cli/src/main/kotlin/bergamotwall/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/bergamotwall/cli/ExplainCommand.kt
@@ -25,7 +25,10 @@
 
     @Parameters(
         paramLabel = "SUBJECT",
-        description = ["request/ID, group/ID, sample/ID, batch/TRAINER/N, replica/ID, revision/N, member/ID, duty/NAME."],
+        description = [
+            "request/ID, group/ID, sample/ID, batch/TRAINER/N,",
+            "replica/ID, revision/N, member/ID or duty/NAME.",
+        ],
     )
     private lateinit var subject: String
 
@@ -36,7 +39,11 @@
     }
 
     private fun text(answer: ExplainAnswer): String {
-        val events = answer.events.map { line(it) }.ifEmpty { listOf("no node remembers a decision about ${answer.subject}") }
+        val events = answer.events.map {
+            line(
+                it
+            )
+        }.ifEmpty { listOf("no node remembers a decision about ${answer.subject}") }
         val missing = answer.unreachable.map { "no answer from $it: its decisions are missing here" }
         return (events + missing).joinToString("\n")
     }
--- a/cli/src/main/kotlin/bergamotwall/cli/IntentCommand.kt
+++ b/cli/src/main/kotlin/bergamotwall/cli/IntentCommand.kt
@@ -11,8 +11,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
 import kotlinx.serialization.builtins.ListSerializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Model.CommandSpec
@@ -45,7 +47,14 @@
         @Option(names = ["--confirm"], description = ["Confirm the plan at once."]) confirm: Boolean,
     ): Int =
         checked(file).fold(
-            success = { text -> planned(root, root.client.post("/v1/operator/plans", text, Plan.serializer()), confirm, out) },
+            success = { text ->
+                planned(
+                    root,
+                    root.client.post("/v1/operator/plans", text, Plan.serializer()),
+                    confirm,
+                    out
+                )
+            },
             failure = { invalid(it) },
         )
 
@@ -62,11 +71,18 @@
     }
 
     private fun checked(file: File): Result<String, List<DocumentProblem>> {
-        if (!file.isFile) return Err(listOf(DocumentProblem(file.path, 1, "FILE", "no such file", "name an existing file")))
+        if (!file.isFile) {
+            return Err(
+                listOf(DocumentProblem(file.path, 1, "FILE", "no such file", "name an existing file"))
+            )
+        }
         val text = file.readText()
-        val intent = readDocument(Intent.serializer(), text, file.path).fold({ it }, { return Err(listOf(it)) })
-        val problems = validateIntent(intent, text, file.path)
-        return if (problems.isEmpty()) Ok(text) else Err(problems)
+        return readDocument(Intent.serializer(), text, file.path)
+            .mapError { listOf(it) }
+            .flatMap { intent ->
+                val problems = validateIntent(intent, text, file.path)
+                if (problems.isEmpty()) Ok(text) else Err(problems)
+            }
     }
 
     private fun valid(file: File): Int {
--- a/cli/src/main/kotlin/bergamotwall/cli/Main.kt
+++ b/cli/src/main/kotlin/bergamotwall/cli/Main.kt
@@ -1,9 +1,9 @@
 package bergamotwall.cli
 
-import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.fold
 import bergamotwall.model.Jsons
 import bergamotwall.runtime.configureLogs
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
 import kotlinx.serialization.KSerializer
 import picocli.AutoComplete
 import picocli.CommandLine
@@ -40,7 +40,13 @@
     version = ["bergamotwall 0.1.0"],
     description = ["States intents, confirms plans, shows and explains the fleet."],
     exitCodeListHeading = "Exit codes:%n",
-    exitCodeList = ["0:done", "1:refused", "2:bad arguments or document", "3:conflict with another change", "4:no controller answered"],
+    exitCodeList = [
+        "0:done",
+        "1:refused",
+        "2:bad arguments or document",
+        "3:conflict with another change",
+        "4:no controller answered",
+    ],
     subcommands = [
         IntentCommand::class,
         StatusCommand::class,
@@ -99,6 +105,7 @@
 internal fun commandLine(): CommandLine = CommandLine(RootCommand()).setCaseInsensitiveEnumValuesAllowed(true)
 
 /** Entry point of `bergamotwall`. */
+@Suppress("SpreadOperator") // picocli takes its arguments so
 public fun main(args: Array<String>) {
     configureLogs("cli", "error")
     exitProcess(commandLine().execute(*args))
--- a/cli/src/main/kotlin/bergamotwall/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/bergamotwall/cli/StatusCommand.kt
@@ -14,7 +14,11 @@
 private const val PERCENT = 100
 
 /** Shows the fleet at a glance. */
-@Command(name = "status", description = ["Show trainers, shards, members and targets."], mixinStandardHelpOptions = true)
+@Command(
+    name = "status",
+    description = ["Show trainers, shards, members and targets."],
+    mixinStandardHelpOptions = true
+)
 internal class StatusCommand : Callable<Int> {
     @ParentCommand
     private lateinit var root: RootCommand
@@ -34,9 +38,39 @@
     return listOf(
         "configuration revision ${status.configuration.revision.value}; published: $published",
         table(trainerHead, status.nodes.flatMap { it.trainers }.map(::trainerRow)),
-        table(shardHead, status.nodes.flatMap { n -> n.shards.map { listOf(it.shard, n.node.value, it.targets, it.queued, it.running, it.capacity, it.reserved) } }),
-        table(memberHead, status.members.map { m -> listOf(m.id.value, m.role, m.dataCentre.value, m.state, m.httpAddress, dutiesOf(status, m.id.value)) }),
-        table(vmHead, status.vms.map { v -> listOf(v.id, v.serves, v.dataCentre.value, v.address, stateOf(status, v.id, v.leaving)) }),
+        table(
+            shardHead,
+            status.nodes.flatMap { n ->
+                n.shards.map {
+                    listOf(it.shard, n.node.value, it.targets, it.queued, it.running, it.capacity, it.reserved)
+                }
+            }
+        ),
+        table(
+            memberHead,
+            status.members.map { m ->
+                listOf(
+                    m.id.value,
+                    m.role,
+                    m.dataCentre.value,
+                    m.state,
+                    m.httpAddress,
+                    dutiesOf(status, m.id.value)
+                )
+            }
+        ),
+        table(
+            vmHead,
+            status.vms.map { v ->
+                listOf(
+                    v.id,
+                    v.serves,
+                    v.dataCentre.value,
+                    v.address,
+                    stateOf(status, v.id, v.leaving)
+                )
+            }
+        ),
     ).joinToString("\n")
 }
 
@@ -48,7 +82,15 @@
 private fun trainerRow(t: TrainerStatus): List<Any> {
     val idle = if (t.observedMillis == 0L) 0 else t.idleMillis * PERCENT / t.observedMillis
     val waits = if (t.ready < t.wanted) "${t.wanted - t.ready} samples" else "nothing"
-    return listOf(t.name.value, t.batch, "${t.ready}/${t.wanted}", "$idle%", "${t.stalenessVersions} versions", t.expired, waits)
+    return listOf(
+        t.name.value,
+        t.batch,
+        "${t.ready}/${t.wanted}",
+        "$idle%",
+        "${t.stalenessVersions} versions",
+        t.expired,
+        waits
+    )
 }
 
 private fun dutiesOf(
@@ -67,6 +109,7 @@
         else -> "serving"
     }
 
+@Suppress("SpreadOperator") // picocli takes its columns so
 private fun table(
     head: List<String>,
     rows: List<List<Any>>,
--- a/controller/src/main/kotlin/bergamotwall/controller/Controller.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Controller.kt
@@ -5,8 +5,8 @@
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.Settings
 import bergamotwall.model.StatusQuery
-import bergamotwall.platform.http.HttpEngineDriver
-import bergamotwall.platform.http.HttpVmListSource
+import bergamotwall.platform.http.EngineDriver
+import bergamotwall.platform.http.VmListSource
 import bergamotwall.platform.http.targetClient
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.aggregatedService
@@ -15,7 +15,7 @@
 import kotlin.system.exitProcess
 
 /** Starts a controller: the control path. Each copy can take any duty. */
-public fun Controller(settings: Settings): Node {
+public fun startController(settings: Settings): Node {
     val node = Node(settings, NodeRole.CONTROLLER)
     ControllerWiring(node).start()
     return node
@@ -23,8 +23,8 @@
 
 private class ControllerWiring(private val node: Node) {
     private val client = targetClient()
-    private val duties = Duties(node, HttpEngineDriver(client))
-    private val relay = Relay(node, HttpVmListSource(client, node.settings.vmListAddress))
+    private val duties = Duties(node, EngineDriver(client))
+    private val relay = Relay(node, VmListSource(client, node.settings.vmListAddress))
     private val operators = OperatorApi(node, Plans(node), ::status)
 
     fun start() {
@@ -62,5 +62,5 @@
 
 /** Entry point of `bergamotwall-controller`. */
 public fun main(args: Array<String>) {
-    exitProcess(runNode("controller", args, ::Controller))
+    exitProcess(runNode("controller", args, ::startController))
 }
--- a/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
@@ -38,9 +38,16 @@
 
     private fun begin(model: ModelName): Running {
         val duty =
-            Duty("rollout/${model.value}", node.settings.id, node.store, node.clock, node.journal, node.settings.leaseTtlSeconds)
+            Duty(
+                "rollout/${model.value}",
+                node.settings.id,
+                node.store,
+                node.clock,
+                node.journal,
+                node.settings.leaseTtlSeconds
+            )
         val intent = { node.board.configuration.read().model(model) }
-        val rollout = Rollout(duty, intent, node.board, engines, node.store, node.clock, node.journal)
+        val rollout = Rollout(duty, node, engines, intent)
         val keeping =
             node.scope.launch {
                 while (true) {
--- a/controller/src/main/kotlin/bergamotwall/controller/Duty.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Duty.kt
@@ -68,7 +68,8 @@
         if (outcome is TransactionOutcome.Committed) {
             val ttlMillis = ttlSeconds * MILLIS_PER_SECOND
             lease = granted
-            holding = LeaseHolding(FencingNumber(outcome.revision), requestedAtMillis, ttlMillis, ttlMillis / MARGIN_PARTS)
+            val fence = FencingNumber(outcome.revision)
+            holding = LeaseHolding(fence, requestedAtMillis, ttlMillis, ttlMillis / MARGIN_PARTS)
             journal.record(Decision("duty/$name", "acquired", "the lease was free", "", "fence ${outcome.revision}"))
         } else {
             store.revoke(granted)
--- a/controller/src/main/kotlin/bergamotwall/controller/OperatorApi.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/OperatorApi.kt
@@ -1,17 +1,17 @@
 package bergamotwall.controller
 
+import bergamotwall.model.Confirmed
 import bergamotwall.model.DocumentProblem
+import bergamotwall.model.DrainRequest
+import bergamotwall.model.ExplainAnswer
 import bergamotwall.model.ExplainQuery
 import bergamotwall.model.Explanation
+import bergamotwall.model.FleetStatus
 import bergamotwall.model.Intent
 import bergamotwall.model.MemberState
 import bergamotwall.model.NodeStatus
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.Plan
-import bergamotwall.model.Confirmed
-import bergamotwall.model.DrainRequest
-import bergamotwall.model.FleetStatus
-import bergamotwall.model.ExplainAnswer
 import bergamotwall.model.PlanId
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
@@ -67,11 +67,18 @@
     }
 
     suspend fun explain(subject: String): HttpResponse {
-        if (subject.isBlank()) return problemResponse(Problem(ProblemKind.BAD_REQUEST, "parameter subject: say what to explain"))
+        if (subject.isBlank()) {
+            return problemResponse(
+                Problem(ProblemKind.BAD_REQUEST, "parameter subject: say what to explain")
+            )
+        }
         val answers = askAll(ExplainQuery(subject))
         val events = node.journal.find(subject) + answers.flatMap { (it.answer as? Explanation)?.events.orEmpty() }
         val unreachable = answers.filter { it.answer == null }.map { it.node }
-        return jsonResponse(ExplainAnswer.serializer(), ExplainAnswer(subject, events.sortedBy { it.atMillis }, unreachable))
+        return jsonResponse(
+            ExplainAnswer.serializer(),
+            ExplainAnswer(subject, events.sortedBy { it.atMillis }, unreachable)
+        )
     }
 
     private class Answer(val node: String, val answer: PeerMessage?)
--- /dev/null
+++ b/controller/src/main/kotlin/bergamotwall/controller/PlanStore.kt
@@ -0,0 +1,57 @@
+package bergamotwall.controller
+
+import bergamotwall.model.Configuration
+import bergamotwall.model.Jsons
+import bergamotwall.model.Plan
+import bergamotwall.model.PlanId
+import bergamotwall.platform.Condition
+import bergamotwall.platform.KeyValueError
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.TransactionOutcome
+import bergamotwall.platform.Write
+import bergamotwall.runtime.SharedKeys
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+
+/** The stored configuration and the revision of its last write. */
+internal class StoredConfiguration(val configuration: Configuration, val modRevision: Long)
+
+/** Plans and the configuration in the key-value service. */
+internal class PlanStore(private val store: KeyValueStore) {
+    suspend fun configuration(): Result<StoredConfiguration, KeyValueError> =
+        store.get(SharedKeys.CONFIGURATION).map { entry ->
+            val configuration = entry?.let { Jsons.wire.decodeFromString(Configuration.serializer(), it.value) }
+            StoredConfiguration(configuration ?: Configuration(), entry?.modRevision ?: 0)
+        }
+
+    suspend fun plan(id: PlanId): Result<Plan?, KeyValueError> =
+        store.get(SharedKeys.plan(id)).map { entry ->
+            entry?.let { Jsons.wire.decodeFromString(Plan.serializer(), it.value) }
+        }
+
+    /** Keeps [plan] until it is confirmed or lapses. */
+    suspend fun keep(plan: Plan): Result<Plan, KeyValueError> =
+        store
+            .grantLease(PLAN_SECONDS)
+            .flatMap { lease ->
+                val value = Jsons.wire.encodeToString(Plan.serializer(), plan)
+                store.commit(Transaction(emptyList(), listOf(Write.Put(SharedKeys.plan(plan.id), value, lease))))
+            }.map { plan }
+
+    /** Writes [next] if the configuration is still as it was at [modRevision]; returns whether it was. */
+    suspend fun swap(
+        next: Configuration,
+        modRevision: Long,
+    ): Result<Boolean, KeyValueError> {
+        val value = Jsons.wire.encodeToString(Configuration.serializer(), next)
+        val condition = Condition.Unchanged(SharedKeys.CONFIGURATION, modRevision)
+        val put = Write.Put(SharedKeys.CONFIGURATION, value)
+        return store.commit(Transaction(listOf(condition), listOf(put))).map { it is TransactionOutcome.Committed }
+    }
+
+    private companion object {
+        private const val PLAN_SECONDS = 3_600L
+    }
+}
--- a/controller/src/main/kotlin/bergamotwall/controller/Relay.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Relay.kt
@@ -30,7 +30,8 @@
 
     /** Whether this controller is a relay now. */
     fun isRelay(): Boolean {
-        val controllers = node.board.members.read().filter { it.role == NodeRole.CONTROLLER && it.state == MemberState.ALIVE }
+        val members = node.board.members.read()
+        val controllers = members.filter { it.role == NodeRole.CONTROLLER && it.state == MemberState.ALIVE }
         val chosen = controllers.sortedByDescending { hashOf("relay@${it.id.value}") }.take(RELAYS)
         return chosen.any { it.id == node.settings.id }
     }
--- a/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
@@ -10,11 +10,8 @@
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
 import bergamotwall.platform.EngineDriver
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.runtime.Blackboard
-import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Decision
-import bergamotwall.runtime.Journal
+import bergamotwall.runtime.Node
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
@@ -25,13 +22,14 @@
 /** Brings the replicas of one model to the published version while [duty] is held. Not thread-safe. */
 internal class Rollout(
     private val duty: Duty,
-    private val model: () -> ModelIntent?,
-    private val board: Blackboard,
+    private val node: Node,
     private val engines: EngineDriver,
-    private val store: KeyValueStore,
-    private val clock: Clock,
-    private val journal: Journal,
+    private val model: () -> ModelIntent?,
 ) {
+    private val board = node.board
+    private val clock = node.clock
+    private val journal = node.journal
+
     private class Ordered(val version: WeightVersion, val atMillis: Long, val attempts: Int)
 
     private class Seen(val vm: Vm, val report: TargetReport?)
@@ -51,12 +49,21 @@
             journal.record(Decision("replica/${it.value}", "set aside", "its swaps kept failing", "", decision.rule))
         }
         coroutineScope {
-            decision.order.map { id -> async { order(seen.first { it.vm.id == id.value }.vm, intent, decision.rule) } }.awaitAll()
+            decision.order.map { id ->
+                async {
+                    order(
+                        seen.first { it.vm.id == id.value }.vm,
+                        intent,
+                        decision.rule
+                    )
+                }
+            }.awaitAll()
         }
     }
 
     private suspend fun readGoal(intent: ModelIntent) {
-        val stored = store.get(SharedKeys.published(intent.name)).get()?.value?.toLong() ?: 0
+        val stored =
+            node.store.get(SharedKeys.published(intent.name)).get()?.value?.toLong() ?: 0
         val heard = board.published.read().of(intent.name)
         val newest = maxOf(heard, WeightVersion(stored))
         if (newest > goalVersion) {
@@ -79,20 +86,20 @@
         val id = TargetId(seen.vm.id)
         val last = ordered[id]
         val version = seen.report?.version ?: WeightVersion(0)
-        val underWay = last != null && last.version == goalVersion && clock.monotonicMillis() - last.atMillis < SWAP_TIMEOUT_MILLIS
+        val underWay = last != null && last.version == goalVersion && justOrdered(last)
         if (version >= goalVersion && last != null) arrived(id, last)
         return RolloutReplica(
             id = id,
             version = version,
-            swapping = seen.report?.swappingTo != null || (underWay && version < goalVersion && justOrdered(last)),
+            swapping = seen.report?.swappingTo != null || (underWay && version < goalVersion),
             running = seen.report?.running ?: 0,
             reachable = seen.report != null,
             failedAttempts = if (last?.version == goalVersion) last.attempts else 0,
         )
     }
 
-    private fun justOrdered(last: Ordered?): Boolean =
-        last != null && clock.monotonicMillis() - last.atMillis < ORDER_SETTLE_MILLIS
+    private fun justOrdered(last: Ordered): Boolean =
+        clock.monotonicMillis() - last.atMillis < ORDER_SETTLE_MILLIS
 
     private fun arrived(
         id: TargetId,
@@ -101,7 +108,9 @@
         ordered.remove(id)
         val tookMillis = clock.monotonicMillis() - last.atMillis
         swapMillis = (swapMillis + tookMillis) / 2
-        journal.record(Decision("replica/${id.value}", "serves ${goalVersion.value}", "it reported so", "", "$tookMillis ms"))
+        journal.record(
+            Decision("replica/${id.value}", "serves ${goalVersion.value}", "it reported so", "", "$tookMillis ms")
+        )
     }
 
     private fun goal(intent: ModelIntent): RolloutGoal =
@@ -136,7 +145,6 @@
     private companion object {
         private const val DEFAULT_SWAP_MILLIS = 2_000L
         private const val BUDGET_MILLIS = 15_000L
-        private const val SWAP_TIMEOUT_MILLIS = 10_000L
         private const val ORDER_SETTLE_MILLIS = 500L
     }
 }
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Blame.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Blame.kt
@@ -1,7 +1,6 @@
 package bergamotwall.decisions
 
 import bergamotwall.model.Fingerprint
-import bergamotwall.model.RequestId
 import bergamotwall.model.TargetId
 
 /**
@@ -15,14 +14,11 @@
 
     fun broke(
         target: TargetState,
-        fingerprints: Collection<Fingerprint>,
+        fingerprint: Fingerprint,
         nowMillis: Long,
     ) {
-        val breaks = pending.getOrPut(target.id) { ArrayList() }
-        fingerprints.forEach {
-            suspicion.crashed(it, target.id, nowMillis)
-            breaks += Break(it, target.bootId)
-        }
+        suspicion.crashed(fingerprint, target.id, nowMillis)
+        pending.getOrPut(target.id) { ArrayList() } += Break(fingerprint, target.bootId)
     }
 
     fun reported(
@@ -32,35 +28,18 @@
         pending.remove(target)?.filter { it.bootId == bootId }?.forEach { suspicion.exonerated(it.fingerprint, target) }
     }
 
-    /** Whether [target] may run [request] with [fingerprint], by what is suspected of it and of what runs there. */
-    fun allows(
+    /** Whether [target] may run the suspected [content]: not where it just broke, and not beside another suspect. */
+    fun allowsSuspect(
         target: TargetState,
-        request: RequestId,
-        fingerprint: Fingerprint,
-        targets: Targets,
+        content: Fingerprint,
         nowMillis: Long,
     ): Boolean {
-        val standing = suspicion.standing(fingerprint, nowMillis)
-        if (standing == Standing.PROVEN) return true
-        if (standing == Standing.QUARANTINED || crashedOn(target, fingerprint, nowMillis)) return false
-        val busy = targets.all().filter { state -> state.running.any { it.key != request && it.value == fingerprint } }
-        val crashed = suspicion.crashedTargets(fingerprint, nowMillis)
-        val spread = target in busy || busy.size + crashed < CrashSuspicion.MAX_TARGETS
-        return spread && (standing != Standing.SUSPECT || noOtherSuspect(target, fingerprint, nowMillis))
+        val brokeHere = pending[target.id].orEmpty().any { it.fingerprint == content }
+        return !brokeHere && target.running.values.none { it != content && isSuspect(it, nowMillis) }
     }
 
-    private fun crashedOn(
-        target: TargetState,
-        fingerprint: Fingerprint,
-        nowMillis: Long,
-    ): Boolean =
-        suspicion.standing(fingerprint, nowMillis) == Standing.SUSPECT &&
-            pending[target.id].orEmpty().any { it.fingerprint == fingerprint }
-
-    private fun noOtherSuspect(
-        target: TargetState,
-        fingerprint: Fingerprint,
+    private fun isSuspect(
+        content: Fingerprint,
         nowMillis: Long,
-    ): Boolean =
-        target.running.values.none { it != fingerprint && suspicion.standing(it, nowMillis) == Standing.SUSPECT }
+    ): Boolean = suspicion.standing(content, nowMillis) == Standing.SUSPECT
 }
--- a/decisions/src/main/kotlin/bergamotwall/decisions/FairQueue.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/FairQueue.kt
@@ -3,6 +3,9 @@
 import bergamotwall.model.RequestId
 import java.util.TreeSet
 
+/** An offer and the place that was found for it. */
+internal class Placed<T>(val item: QueuedOffer, val place: T)
+
 /**
  * Queue of one priority class, fair between flows by start-time fair queuing (Goyal, Vin and Cheng, 1996): a flow's
  * tag advances by the expected tokens over its weight. Within a flow the lowest sequence goes first. Not thread-safe.
@@ -35,26 +38,24 @@
 
     fun newest(): QueuedOffer? = byRequest.values.maxByOrNull { it.arrival }
 
-    fun expired(nowMillis: Long): List<QueuedOffer> = byRequest.values.filter { it.deadlineMillis <= nowMillis }
-
     fun all(): List<QueuedOffer> = byRequest.values.toList()
 
     /** Takes the first offer, in fair order, for which [place] finds a target; looks at [depth] offers of each flow. */
     fun <T : Any> takeFirst(
         depth: Int,
         place: (QueuedOffer) -> T?,
-    ): Pair<QueuedOffer, T>? {
+    ): Placed<T>? {
         val ordered = flows.values.filter { it.waiting.isNotEmpty() }.sortedBy { it.startTag }
-        for (flow in ordered) {
-            val found = flow.waiting.asSequence().take(depth).firstNotNullOfOrNull { item -> place(item)?.let { item to it } }
-            if (found != null) {
-                charge(flow, found.first)
-                return found
-            }
-        }
-        return null
+        return ordered.firstNotNullOfOrNull { flow -> firstOf(flow, depth, place)?.also { charge(flow, it.item) } }
     }
 
+    private fun <T : Any> firstOf(
+        flow: Flow,
+        depth: Int,
+        place: (QueuedOffer) -> T?,
+    ): Placed<T>? =
+        flow.waiting.asSequence().take(depth).firstNotNullOfOrNull { item -> place(item)?.let { Placed(item, it) } }
+
     private fun charge(
         flow: Flow,
         item: QueuedOffer,
--- a/decisions/src/main/kotlin/bergamotwall/decisions/GroupTracker.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/GroupTracker.kt
@@ -31,7 +31,10 @@
     ): GroupStep {
         if (running.remove(number) == null) return GroupStep(emptyList(), emptyList(), "late")
         whole++
-        if (!complete) return refill(nowMillis, "not yet enough")
+        return if (complete) cancelRest() else refill(nowMillis, "not yet enough")
+    }
+
+    private fun cancelRest(): GroupStep {
         val rest = running.keys.sorted()
         running.clear()
         return GroupStep(emptyList(), rest, "enough samples are whole")
--- a/decisions/src/main/kotlin/bergamotwall/decisions/HandOver.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/HandOver.kt
@@ -11,7 +11,7 @@
     public val complete: Boolean get() = missingByGroup.isEmpty()
 }
 
-/** Whether [sample] may be handed over while [published] is the newest version and [bound] versions behind are allowed. */
+/** Whether [sample] is at most [bound] versions behind [published]. */
 public fun isFresh(
     sample: Sample,
     published: WeightVersion,
--- /dev/null
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/MembershipAction.kt
@@ -0,0 +1,12 @@
+package bergamotwall.decisions
+
+import bergamotwall.model.Member
+
+/** What the shell is to do for the membership. */
+public sealed interface MembershipAction {
+    /** Probe the process at [peerAddress]. */
+    public data class Probe(val peerAddress: String) : MembershipAction
+
+    /** Ask [via] to probe [target]. */
+    public data class ProbeThrough(val via: Member, val target: Member) : MembershipAction
+}
--- a/decisions/src/main/kotlin/bergamotwall/decisions/ReplicaChoice.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/ReplicaChoice.kt
@@ -28,12 +28,10 @@
         allowed: (TargetState) -> Boolean,
     ): TargetState? {
         if (targets.size == 0) return null
-        repeat(TRIES) {
-            val candidate = targets.at(random.nextInt(targets.size))
-            if (allowed(candidate)) return candidate
-        }
+        val sampled = generateSequence { targets.at(random.nextInt(targets.size)) }.take(TRIES)
         val start = random.nextInt(targets.size)
-        return (0 until targets.size).map { targets.at((start + it) % targets.size) }.firstOrNull(allowed)
+        val scanned = (0 until targets.size).asSequence().map { targets.at((start + it) % targets.size) }
+        return (sampled + scanned).firstOrNull(allowed)
     }
 
     private fun cost(
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RolloutPolicy.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/RolloutPolicy.kt
@@ -18,7 +18,7 @@
     val failedAttempts: Int = 0,
 )
 
-/** What a rollout is to reach. [budgetMillis] is the time from publication within which all replicas should serve it. */
+/** What a rollout is to reach: all replicas serve [version] within [budgetMillis] of its publication. */
 public data class RolloutGoal(
     val version: WeightVersion,
     val floorPercent: Int,
@@ -47,7 +47,8 @@
     val pending = alive.filter { it.version < goal.version && !it.swapping && it !in setAside }
     val swapping = alive.count { it.swapping }
     val allowed = allowedAway(goal, alive.size) - swapping - setAside.size
-    val wave = minOf(allowed, waveSize(goal, pending.size, allowedAway(goal, alive.size)) - swapping, goal.maxLoads - swapping)
+    val wave =
+        minOf(allowed, waveSize(goal, pending.size, allowedAway(goal, alive.size)) - swapping, goal.maxLoads - swapping)
     val order =
         pending
             .sortedWith(compareBy<RolloutReplica> { it.running }.thenBy { it.version }.thenBy { it.id.value })
--- a/decisions/src/main/kotlin/bergamotwall/decisions/TailEstimator.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/TailEstimator.kt
@@ -13,7 +13,7 @@
         snapshot.updateAndGet { (it + durationMillis).takeLast(KEPT) }
     }
 
-    /** Spare generations worth starting beside [missing] needed ones: the share expected beyond [LATE_RATIO] medians. */
+    /** Spares worth starting beside [missing] needed ones: the share expected beyond [LATE_RATIO] medians. */
     public fun spares(missing: Int): Int {
         if (recent.size < MIN_SAMPLES) return ceil(missing * DEFAULT_SHARE).toInt()
         val median = quantile(MEDIAN)
--- a/decisions/src/main/kotlin/bergamotwall/decisions/TargetState.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/TargetState.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.model.DataCentre
 import bergamotwall.model.Fingerprint
+import bergamotwall.model.RequestId
 import bergamotwall.model.TargetId
 import bergamotwall.model.TargetReport
 import bergamotwall.model.WeightVersion
@@ -12,7 +13,8 @@
  * What a dispatcher knows of one target: the last report, corrected by what it granted itself since.
  *
  * The window follows the first-token latency: it shrinks by a share when that rises well above the fastest seen, and
- * grows by a fraction of a request when full and fast (additive increase, multiplicative decrease; Chiu and Jain, 1989).
+ * grows by a fraction of a request when full and fast (additive increase, multiplicative decrease; Chiu and Jain,
+ * 1989).
  */
 internal class TargetState(
     val id: TargetId,
@@ -25,7 +27,7 @@
     var bootId = ""
     var reported = false
     var closedUntilMillis = 0L
-    val running = HashMap<bergamotwall.model.RequestId, Fingerprint>()
+    val running = HashMap<RequestId, Fingerprint>()
     val firstToken = Ewma(LATENCY_ALPHA)
     private var slots = 1
     private var window = 1.0
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Targets.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Targets.kt
@@ -19,6 +19,9 @@
 
     fun all(): List<TargetState> = positions
 
+    /** Requests that all usable targets together may run at once. */
+    fun capacity(nowMillis: Long): Int = positions.sumOf { if (it.usable(nowMillis)) it.capacity else 0 }
+
     fun observeFirstToken(millis: Double): Unit = firstToken.add(millis)
 
     fun update(listed: List<DispatchTarget>) {
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/AcceptedCompletion.kt
@@ -0,0 +1,16 @@
+package bergamotwall.entry
+
+import bergamotwall.model.CallerIntent
+import bergamotwall.model.ModelIntent
+import bergamotwall.model.PriorityClass
+
+/** What is needed to serve a completion call. */
+internal data class AcceptedCompletion(
+    val id: String,
+    val call: CompletionCall,
+    val caller: CallerIntent,
+    val model: ModelIntent,
+    val priorityClass: PriorityClass,
+    val deadlineMillis: Long,
+    val trace: String?,
+)
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchCoordinator.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchCoordinator.kt
@@ -51,15 +51,20 @@
         order: BatchOrder,
     ): BatchAnswer {
         val owner = fleet.owner("trainer/${trainer.name.value}")
-        if (owner != null && owner.id != node.id()) return BatchAnswer.Elsewhere(owner)
+        return if (owner != null && owner.id != node.id) BatchAnswer.Elsewhere(owner) else await(trainer, number, order)
+    }
+
+    private suspend fun await(
+        trainer: TrainerIntent,
+        number: Long,
+        order: BatchOrder,
+    ): BatchAnswer {
         val job = join(trainer, number, order)
         val result = withTimeoutOrNull(WAIT_MILLIS) { job.result.await() }
-        if (result == null) {
-            val current = statsOf(trainer.name).get()
-            return BatchAnswer.Pending(current.ready, current.wanted)
-        }
-        running.remove(trainer.name, job)
-        return result.fold({ BatchAnswer.Ready(it) }, { BatchAnswer.Refused(it) })
+        if (result != null) running.remove(trainer.name, job)
+        val current = statsOf(trainer.name).get()
+        return result?.fold({ BatchAnswer.Ready(it) }, { BatchAnswer.Refused(it) })
+            ?: BatchAnswer.Pending(current.ready, current.wanted)
     }
 
     fun status(): List<TrainerStatus> = stats.values.map { it.get().status(node.clock.monotonicMillis()) }
@@ -73,7 +78,8 @@
         return running.compute(trainer.name) { _, current ->
             if (current != null && current.number == number && current.hash == hash) return@compute current
             current?.result?.cancel()
-            val parts = BatchParts(node, groups, stores, manifests, tails.computeIfAbsent(trainer.name) { TailEstimator() })
+            val parts =
+                BatchParts(node, groups, stores, manifests, tails.computeIfAbsent(trainer.name) { TailEstimator() })
             val job = BatchJob(parts, trainer, number, order, statsOf(trainer.name))
             Running(number, hash, node.scope.async { job.run() })
         }!!
--- a/entry/src/main/kotlin/bergamotwall/entry/Budgets.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Budgets.kt
@@ -6,15 +6,15 @@
 
 /** Retry budgets by name of caller or target, changed by compare-and-set. */
 internal class Budgets {
-    private val budgets = ConcurrentHashMap<String, AtomicReference<RetryBudget>>()
+    private val byName = ConcurrentHashMap<String, AtomicReference<RetryBudget>>()
 
     fun attempted(name: String) {
-        of(name).updateAndGet { it.attempted() }
+        budget(name).updateAndGet { it.attempted() }
     }
 
     /** Takes a retry from the budget of [name]; false if none is left. */
     fun take(name: String): Boolean {
-        val budget = of(name)
+        val budget = budget(name)
         while (true) {
             val current = budget.get()
             val next = current.taken() ?: return false
@@ -22,8 +22,8 @@
         }
     }
 
-    private fun of(name: String): AtomicReference<RetryBudget> =
-        budgets.computeIfAbsent(name) { AtomicReference(RetryBudget(RATIO, BURST)) }
+    private fun budget(name: String): AtomicReference<RetryBudget> =
+        byName.computeIfAbsent(name) { AtomicReference(RetryBudget(RATIO, BURST)) }
 
     private companion object {
         private const val RATIO = 0.2
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -1,12 +1,10 @@
 package bergamotwall.entry
 
 import bergamotwall.decisions.TailEstimator
-import bergamotwall.model.CallerIntent
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Jsons
 import bergamotwall.model.ModelIntent
 import bergamotwall.model.ModelName
-import bergamotwall.model.PriorityClass
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemDocument
 import bergamotwall.model.ProblemKind
@@ -37,17 +35,6 @@
     private val identity: Identity,
     private val groups: GroupRunner,
 ) {
-    /** What is needed to serve a call. */
-    private class Accepted(
-        val id: String,
-        val call: CompletionCall,
-        val caller: CallerIntent,
-        val model: ModelIntent,
-        val priorityClass: PriorityClass,
-        val deadlineMillis: Long,
-        val trace: String?,
-    )
-
     fun serve(
         context: ServiceRequestContext,
         request: AggregatedHttpRequest,
@@ -61,7 +48,7 @@
     private fun accept(
         request: AggregatedHttpRequest,
         read: (String) -> Result<CompletionCall, Problem>,
-    ): Result<Accepted, Problem> =
+    ): Result<AcceptedCompletion, Problem> =
         binding {
             val caller = identity.caller(request.headers()).bind()
             val call = read(request.contentUtf8()).bind()
@@ -72,7 +59,7 @@
                     .model(name)
                     .toResultOr { Problem(ProblemKind.NOT_FOUND, "model ${call.model}: no confirmed intent names it") }
                     .bind()
-            Accepted(
+            AcceptedCompletion(
                 id = UUID.randomUUID().toString(),
                 call = call,
                 caller = caller,
@@ -85,7 +72,7 @@
 
     private fun whole(
         context: ServiceRequestContext,
-        accepted: Accepted,
+        accepted: AcceptedCompletion,
     ): HttpResponse {
         val answer = java.util.concurrent.CompletableFuture<HttpResponse>()
         val collected = Collector(accepted)
@@ -104,7 +91,7 @@
 
     private fun streamed(
         context: ServiceRequestContext,
-        accepted: Accepted,
+        accepted: AcceptedCompletion,
     ): HttpResponse {
         val writer = HttpResponse.streaming()
         val streamer = Streamer(accepted, writer)
@@ -118,7 +105,7 @@
     }
 
     private suspend fun run(
-        accepted: Accepted,
+        accepted: AcceptedCompletion,
         listener: GroupListener,
     ): Result<Unit, Problem> {
         val spec = GroupSpec(accepted.call.prompt, accepted.call.n, accepted.call.enough, accepted.call.maxTokens)
@@ -129,7 +116,7 @@
     }
 
     private fun orderOf(
-        accepted: Accepted,
+        accepted: AcceptedCompletion,
         number: Int,
     ): GenerationOrder =
         GenerationOrder(
@@ -159,7 +146,7 @@
     private fun now(): Long = node.clock.monotonicMillis()
 
     /** Collects whole choices for an answer in one piece. */
-    private inner class Collector(private val accepted: Accepted) : GroupListener {
+    private inner class Collector(private val accepted: AcceptedCompletion) : GroupListener {
         private val choices = ArrayList<Choice>()
         private var tokens = 0
 
@@ -188,7 +175,10 @@
     }
 
     /** Writes pieces as server-sent events. A stream that is not whole ends without `[DONE]`. */
-    private inner class Streamer(private val accepted: Accepted, private val writer: HttpResponseWriter) : GroupListener {
+    private inner class Streamer(
+        private val accepted: AcceptedCompletion,
+        private val writer: HttpResponseWriter
+    ) : GroupListener {
         private var started = false
 
         override suspend fun piece(
@@ -247,14 +237,21 @@
     }
 
     private fun answer(
-        accepted: Accepted,
+        accepted: AcceptedCompletion,
         suffix: String,
         choices: List<Choice>,
         usage: Usage?,
     ): CompletionAnswer {
         val kind = if (accepted.call.chat) "chat.completion" else "text_completion"
         val createdSeconds = node.clock.wallMillis() / MILLIS_PER_SECOND
-        return CompletionAnswer("cmpl-${accepted.id}", kind + suffix, createdSeconds, accepted.call.model, choices, usage)
+        return CompletionAnswer(
+            "cmpl-${accepted.id}",
+            kind + suffix,
+            createdSeconds,
+            accepted.call.model,
+            choices,
+            usage
+        )
     }
 
     private companion object {
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionCall.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionCall.kt
@@ -40,7 +40,9 @@
     format: KSerializer<T>,
     body: String,
     convert: (T) -> CompletionCall,
-): Result<CompletionCall, Problem> = readBody(format, body).let { if (it.isOk) check(convert(it.value)) else Err(it.error) }
+): Result<CompletionCall, Problem> = readBody(format, body).let {
+    if (it.isOk) check(convert(it.value)) else Err(it.error)
+}
 
 private val lenient = Json { ignoreUnknownKeys = true }
 
--- a/entry/src/main/kotlin/bergamotwall/entry/DispatchHub.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/DispatchHub.kt
@@ -1,10 +1,10 @@
 package bergamotwall.entry
 
+import bergamotwall.decisions.DispatchEvent
 import bergamotwall.decisions.DispatchTarget
 import bergamotwall.model.Done
 import bergamotwall.model.Finished
 import bergamotwall.model.MemberState
-import bergamotwall.model.NodeId
 import bergamotwall.model.Offer
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
@@ -12,10 +12,7 @@
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.ShardStatus
 import bergamotwall.model.Withdraw
-import bergamotwall.platform.EngineDriver
 import bergamotwall.runtime.Node
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
@@ -25,7 +22,7 @@
 internal class DispatchHub(
     private val node: Node,
     private val fleet: FleetView,
-    private val engines: EngineDriver,
+    private val poller: ReportPoller,
 ) {
     private val shards = ConcurrentHashMap<String, DispatchShard>()
     private val lastTargets = ConcurrentHashMap<String, List<DispatchTarget>>()
@@ -39,7 +36,7 @@
         }
         node.scope.launch {
             while (true) {
-                owned().forEach { (name, targets) -> targets.forEach { node.scope.launch { poll(name, it) } } }
+                owned().forEach { (name, targets) -> poller.poll(shard(name), targets) }
                 delay(REPORT_MILLIS)
             }
         }
@@ -51,12 +48,13 @@
     }
 
     suspend fun withdraw(message: Withdraw): PeerMessage {
-        shards.values.forEach { it.withdraw(message.request) }
+        shards.values.forEach { it.tell(DispatchEvent.Withdrawn(message.request)) }
         return Done
     }
 
     suspend fun finished(message: Finished): PeerMessage {
-        shards.filterKeys { it.substringBeforeLast('#') == message.serves }.values.forEach { it.finished(message) }
+        val concerned = shards.filterKeys { it.substringBeforeLast('#') == message.serves }
+        concerned.values.forEach { it.tell(DispatchEvent.Returned(message)) }
         return Done
     }
 
@@ -70,45 +68,34 @@
         fleet.shards().filterKeys { fleet.owner(it)?.id == node.settings.id }
 
     private suspend fun refresh() {
-        val all = fleet.shards()
-        all.filterKeys { shards.containsKey(it) || fleet.owner(it)?.id == node.settings.id }.forEach { (name, targets) ->
-            if (lastTargets[name] != targets) {
-                shard(name).targets(targets)
-                lastTargets[name] = targets
-            }
+        fleet.shards().filterKeys {
+            shards.containsKey(it) || fleet.owner(it)?.id == node.settings.id
+        }.forEach { (name, targets) ->
+            val shard = shard(name)
+            if (lastTargets.put(name, targets) != targets) shard.tell(DispatchEvent.Listed(targets))
         }
-        val dead = node.board.members.read().filter { it.state == MemberState.DEAD }.map { it.id }
+        val dead = node.board.members.read().filter { it.state == MemberState.DEAD }
         shards.values.forEach { shard ->
-            shard.tick(dead)
+            dead.forEach { shard.tell(DispatchEvent.RequesterLost(it.id)) }
+            shard.tell(DispatchEvent.Tick)
             spreadCrashes(shard)
         }
     }
 
     private suspend fun spreadCrashes(shard: DispatchShard) {
         val heard = node.board.crashes.read().filter { it.expiresAtMillis > node.clock.wallMillis() }
-        val found = shard.exchangeCrashes(heard)
         val known = heard.map { it.fingerprint to it.targets }.toSet()
-        val news = found.filter { (it.fingerprint to it.targets) !in known }
+        val news = shard.exchangeCrashes(heard).filter { (it.fingerprint to it.targets) !in known }
         if (news.isNotEmpty()) node.board.crashes.update { (news + it).distinctBy { c -> c.fingerprint to c.targets } }
     }
 
-    private suspend fun poll(
-        name: String,
-        target: DispatchTarget,
-    ) {
-        engines
-            .report(target.address)
-            .onSuccess { shard(name).report(target.id, it) }
-            .onFailure { shard(name).silent(target.id) }
-    }
-
     private suspend fun shard(name: String): DispatchShard {
         shards[name]?.let { return it }
         val made = DispatchShard(name, ::weightOf, Random(node.random.nextLong()), node.clock, node.journal)
         val shard = shards.putIfAbsent(name, made) ?: made
         fleet.shards()[name]?.let { targets ->
-            shard.targets(targets)
-            targets.forEach { node.scope.launch { poll(name, it) } }
+            shard.tell(DispatchEvent.Listed(targets))
+            poller.poll(shard, targets)
         }
         return shard
     }
@@ -120,17 +107,15 @@
             .firstNotNullOfOrNull { intent -> intent.trainers.find { it.name.value == flow } }
             ?.shareWeight ?: 1
 
-    private fun nothingServes(offer: Offer): PeerMessage =
-        PeerRefusal(
-            Problem(ProblemKind.UNAVAILABLE, "no target serves ${offer.serves}", retryAfterMillis = RETRY_AFTER_MILLIS),
-        )
-
     private companion object {
         private const val REFRESH_MILLIS = 100L
         private const val REPORT_MILLIS = 300L
-        private const val RETRY_AFTER_MILLIS = 1_000L
     }
 }
 
-/** Identity of the node that asks for permits, for readers of [Offer.requester]. */
-internal fun Node.id(): NodeId = settings.id
+private const val RETRY_AFTER_MILLIS = 1_000L
+
+private fun nothingServes(offer: Offer): PeerMessage =
+    PeerRefusal(
+        Problem(ProblemKind.UNAVAILABLE, "no target serves ${offer.serves}", retryAfterMillis = RETRY_AFTER_MILLIS),
+    )
--- a/entry/src/main/kotlin/bergamotwall/entry/DispatchShard.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/DispatchShard.kt
@@ -1,20 +1,18 @@
 package bergamotwall.entry
 
 import bergamotwall.decisions.DispatchDecision
+import bergamotwall.decisions.DispatchEvent
 import bergamotwall.decisions.DispatchLimits
 import bergamotwall.decisions.DispatchLoad
-import bergamotwall.decisions.DispatchTarget
 import bergamotwall.decisions.Dispatcher
 import bergamotwall.model.CrashRecord
-import bergamotwall.model.Finished
 import bergamotwall.model.Granted
-import bergamotwall.model.NodeId
 import bergamotwall.model.Offer
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
 import bergamotwall.model.RequestId
-import bergamotwall.model.TargetId
-import bergamotwall.model.TargetReport
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Journal
@@ -41,36 +39,19 @@
     /** Waits for a permit; leaves the queue if the caller's coroutine is cancelled. */
     suspend fun offer(offer: Offer): PeerMessage {
         val answer = CompletableDeferred<PeerMessage>()
-        run {
-            waiting.put(offer.request, answer)?.complete(Superseded)
-            dispatcher.offer(offer, clock.monotonicMillis())
+        withContext(confined) {
+            waiting.put(offer.request, answer)?.complete(offeredAgain)
+            process(DispatchEvent.Offered(offer))
         }
         try {
             return answer.await()
         } finally {
-            if (!answer.isCompleted) withContext(NonCancellable) { forget(offer.request, answer) }
+            if (!answer.isCompleted) withContext(NonCancellable + confined) { giveUp(offer.request, answer) }
         }
     }
 
-    suspend fun withdraw(request: RequestId): Unit = run { dispatcher.withdraw(request, clock.monotonicMillis()) }
-
-    suspend fun finished(finished: Finished): Unit = run { dispatcher.finished(finished, clock.monotonicMillis()) }
-
-    suspend fun targets(targets: List<DispatchTarget>): Unit =
-        run { dispatcher.targets(targets, clock.monotonicMillis()) }
-
-    suspend fun report(
-        target: TargetId,
-        report: TargetReport,
-    ): Unit = run { dispatcher.report(target, report, clock.monotonicMillis()) }
-
-    suspend fun silent(target: TargetId): Unit = run { dispatcher.silent(target, clock.monotonicMillis()) }
-
-    suspend fun tick(dead: List<NodeId>): Unit =
-        run {
-            dead.forEach { dispatcher.requesterLost(it, clock.monotonicMillis()) }
-            dispatcher.tick(clock.monotonicMillis())
-        }
+    /** Tells the dispatcher of [event]. */
+    suspend fun tell(event: DispatchEvent): Unit = withContext(confined) { process(event) }
 
     suspend fun load(): DispatchLoad = withContext(confined) { dispatcher.load(clock.monotonicMillis()) }
 
@@ -79,26 +60,21 @@
         withContext(confined) {
             val offsetMillis = clock.wallMillis() - clock.monotonicMillis()
             val local = heard.map { it.copy(expiresAtMillis = it.expiresAtMillis - offsetMillis) }
-            dispatcher.mergeCrashes(local, clock.monotonicMillis())
+            if (local.isNotEmpty()) process(DispatchEvent.CrashesHeard(local))
             dispatcher
                 .crashRecords(clock.monotonicMillis())
                 .map { it.copy(expiresAtMillis = it.expiresAtMillis + offsetMillis) }
         }
 
-    private suspend fun run(block: () -> Unit) {
-        withContext(confined) {
-            block()
-            dispatcher.take().forEach { deliver(it) }
-        }
+    private fun process(event: DispatchEvent) {
+        dispatcher.handle(event, clock.monotonicMillis()).forEach { deliver(it) }
     }
 
-    private suspend fun forget(
+    private fun giveUp(
         request: RequestId,
         answer: CompletableDeferred<PeerMessage>,
     ) {
-        run {
-            if (waiting.remove(request, answer)) dispatcher.withdraw(request, clock.monotonicMillis())
-        }
+        if (waiting.remove(request, answer)) process(DispatchEvent.Withdrawn(request))
     }
 
     private fun deliver(decision: DispatchDecision) {
@@ -113,9 +89,6 @@
     }
 
     private companion object {
-        private val Superseded =
-            PeerRefusal(
-                bergamotwall.model.Problem(bergamotwall.model.ProblemKind.CONFLICT, "the same request was offered again"),
-            )
+        private val offeredAgain = PeerRefusal(Problem(ProblemKind.CONFLICT, "the same request was offered again"))
     }
 }
--- a/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
@@ -11,8 +11,8 @@
 import bergamotwall.model.Settings
 import bergamotwall.model.StatusQuery
 import bergamotwall.model.Withdraw
-import bergamotwall.platform.http.HttpEngineDriver
-import bergamotwall.platform.http.HttpServiceDriver
+import bergamotwall.platform.http.EngineDriver
+import bergamotwall.platform.http.ServiceDriver
 import bergamotwall.platform.http.targetClient
 import bergamotwall.runtime.AggregatedHandler
 import bergamotwall.runtime.Node
@@ -22,7 +22,7 @@
 import kotlin.system.exitProcess
 
 /** Starts an entry: the request path. */
-public fun Entry(settings: Settings): Node {
+public fun startEntry(settings: Settings): Node {
     val node = Node(settings, NodeRole.ENTRY)
     EntryWiring(node).start()
     return node
@@ -30,9 +30,9 @@
 
 private class EntryWiring(private val node: Node) {
     private val client = targetClient()
-    private val engines = HttpEngineDriver(client)
+    private val engines = EngineDriver(client)
     private val fleet = FleetView(node.board)
-    private val hub = DispatchHub(node, fleet, engines)
+    private val hub = DispatchHub(node, fleet, ReportPoller(node.scope, engines))
     private val permits = Permits(node, fleet, hub)
     private val budgets = Budgets()
     private val runner = GenerationRunner(node, permits, engines, budgets)
@@ -42,9 +42,10 @@
     private val identity = Identity(node.board)
     private val coordinator =
         BatchCoordinator(node, fleet, groups, SampleStores(node, fleet), Manifests(node.store))
+    private val serviceRunner = ServiceRunner(node, permits, ServiceDriver(client), budgets)
     private val completions = CompletionApi(node, identity, groups)
-    private val services = ServiceApi(node, identity, permits, HttpServiceDriver(client), receipts, budgets)
-    private val trainers = TrainerApi(node, identity, coordinator)
+    private val services = ServiceApi(node, ServiceCallReader(node, identity), serviceRunner, receipts)
+    private val trainers = TrainerApi(Publications(node), identity, coordinator)
     private val entries = EntriesApi(node)
 
     fun start() {
@@ -58,9 +59,7 @@
             is Offer -> hub.offer(message)
             is Withdraw -> hub.withdraw(message)
             is Finished -> hub.finished(message)
-            is ReserveReceipt -> receipts.answer(message)
-            is CompleteReceipt -> receipts.answer(message)
-            is QueryReceipt -> receipts.answer(message)
+            is ReserveReceipt, is CompleteReceipt, is QueryReceipt -> receipts.answer(message)
             is StatusQuery -> status()
             else -> Node.notServed(message)
         }
@@ -94,5 +93,5 @@
 
 /** Entry point of `bergamotwall-entry`. */
 public fun main(args: Array<String>) {
-    exitProcess(runNode("entry", args, ::Entry))
+    exitProcess(runNode("entry", args, ::startEntry))
 }
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -10,6 +10,7 @@
 import bergamotwall.model.Offer
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
+import bergamotwall.model.RequestId
 import bergamotwall.model.RunOutcome
 import bergamotwall.model.RunState
 import bergamotwall.model.TargetId
@@ -47,6 +48,14 @@
             Run(order, hop.traceparent, onPiece).attempts()
         }
 
+    private fun journal(
+        order: GenerationOrder,
+        decision: String,
+        rule: String,
+        cause: String,
+        inputs: String,
+    ): Unit = node.journal.record(Decision("request/${order.request.value}", decision, rule, cause, inputs))
+
     private inner class Run(
         private val order: GenerationOrder,
         private val trace: String,
@@ -64,17 +73,35 @@
         suspend fun attempts(): Result<Generation, Problem> {
             budgets.attempted(order.caller.value)
             var attempt = 1
-            while (true) {
+            var result: Result<Generation, Problem>? = null
+            while (result == null) {
                 val offer = offer(attempt)
-                val permit = permits.acquire(offer, trace).fold({ it }, { return Err(refused(it)) })
-                val error = attempt(offer, permit).fold({ return Ok(whole()) }, { it })
-                val retry = decide(attempt, error, permit.target)
-                if (retry is RetryDecision.GiveUp) return Err(givenUp(retry, error))
-                delay((retry as RetryDecision.Retry).delayMillis)
+                result =
+                    permits.acquire(offer, trace).fold(
+                        success = { permit ->
+                            attempt(offer, permit).fold({ Ok(whole()) }, { failed(attempt, it, permit.target) })
+                        },
+                        failure = { Err(if (tokens > 0) it.copy(runState = RunState.RAN) else it) },
+                    )
                 attempt++
             }
+            return result
         }
 
+        /** The final answer after a failed attempt, or null after the pause before the next one. */
+        private suspend fun failed(
+            attempt: Int,
+            error: TargetError,
+            target: TargetId,
+        ): Result<Generation, Problem>? =
+            when (val retry = decide(attempt, error, target)) {
+                is RetryDecision.GiveUp -> Err(givenUp(retry, error))
+                is RetryDecision.Retry -> {
+                    delay(retry.delayMillis)
+                    null
+                }
+            }
+
         private suspend fun attempt(
             offer: Offer,
             permit: Granted,
@@ -85,7 +112,10 @@
                 val result =
                     node.tracing.hop("engine", trace) { hop ->
                         hop.note("target", permit.target.value)
-                        engines.complete(permit.address, request(offer, hop.traceparent)) { piece(it, permit.target, attemptMillis) }
+                        engines.complete(
+                            permit.address,
+                            requestOf(offer, hop.traceparent, order, text.toString(), tokens)
+                        ) { piece(it, permit.target, attemptMillis) }
                     }
                 outcome = result.fold({ RunOutcome.WHOLE }, { outcomeOf(it) })
                 return result
@@ -115,7 +145,13 @@
             error: TargetError,
             target: TargetId,
         ): RetryDecision {
-            if (error is TargetError.Rejected) return RetryDecision.GiveUp(ProblemKind.BAD_REQUEST, RunState.NOT_RUN, "rejected")
+            if (error is TargetError.Rejected) {
+                return RetryDecision.GiveUp(
+                    ProblemKind.BAD_REQUEST,
+                    RunState.NOT_RUN,
+                    "rejected"
+                )
+            }
             lastFailed = target
             val failed =
                 FailedAttempt(
@@ -129,14 +165,14 @@
             val decision = decideRetry(failed, node.random)
             val verb = if (decision is RetryDecision.Retry) "retried" else "gave up"
             node.metrics.retries.labelValues(failed.outcome.name).inc()
-            journal(verb, decision.toString(), error.detail, "attempt $attempt on ${target.value}")
+            journal(order, verb, decision.toString(), error.detail, "attempt $attempt on ${target.value}")
             return decision
         }
 
         private fun offer(attempt: Int): Offer =
             Offer(
-                request = bergamotwall.model.RequestId("${order.request.value}.$attempt"),
-                requester = node.id(),
+                request = RequestId("${order.request.value}.$attempt"),
+                requester = node.id,
                 serves = order.model,
                 priorityClass = order.priorityClass,
                 flow = order.flow,
@@ -150,14 +186,6 @@
                 dataCentre = node.settings.dataCentre,
             )
 
-        private fun request(
-            offer: Offer,
-            traceparent: String,
-        ): EngineRequest {
-            val left = order.maxTokens - tokens
-            return EngineRequest(offer.request.value, order.model, order.prompt, left, text.toString(), traceparent)
-        }
-
         private fun finished(
             offer: Offer,
             permit: Granted,
@@ -177,14 +205,17 @@
             )
 
         private fun whole(): Generation {
-            journal("whole", "the engine closed the stream", "", "$tokens tokens, versions ${versions.map { it.value }}")
+            journal(
+                order,
+                "whole",
+                "the engine closed the stream",
+                "",
+                "$tokens tokens, versions ${versions.map { it.value }}"
+            )
             val durationMillis = node.clock.monotonicMillis() - startedMillis
             return Generation(text.toString(), tokens, versions.toList(), used.toList(), finishReason, durationMillis)
         }
 
-        private fun refused(problem: Problem): Problem =
-            if (tokens > 0) problem.copy(runState = RunState.RAN) else problem
-
         private fun givenUp(
             retry: RetryDecision.GiveUp,
             error: TargetError,
@@ -192,13 +223,6 @@
             val runState = if (tokens > 0) RunState.RAN else retry.runState
             return Problem(retry.kind, "${retry.rule}: ${error.detail}", runState, RETRY_AFTER_MILLIS)
         }
-
-        private fun journal(
-            decision: String,
-            rule: String,
-            cause: String,
-            inputs: String,
-        ) = node.journal.record(Decision("request/${order.request.value}", decision, rule, cause, inputs))
     }
 
     private companion object {
@@ -206,8 +230,17 @@
     }
 }
 
-private fun outcomeOf(error: TargetError): RunOutcome =
+internal fun outcomeOf(error: TargetError): RunOutcome =
     when (error) {
         is TargetError.NotStarted, is TargetError.Rejected -> RunOutcome.NOT_STARTED
         is TargetError.Broken -> RunOutcome.BROKEN
     }
+
+private fun requestOf(
+    offer: Offer,
+    traceparent: String,
+    order: GenerationOrder,
+    resumeFrom: String,
+    tokens: Int,
+): EngineRequest =
+    EngineRequest(offer.request.value, order.model, order.prompt, order.maxTokens - tokens, resumeFrom, traceparent)
--- a/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
@@ -111,7 +111,9 @@
         step: GroupStep,
     ) {
         node.metrics.cancelled.labelValues("enough").inc(step.cancel.size.toDouble())
-        node.journal.record(Decision("group/$name", "cancelled ${step.cancel.size}", step.rule, "", "numbers ${step.cancel}"))
+        node.journal.record(
+            Decision("group/$name", "cancelled ${step.cancel.size}", step.rule, "", "numbers ${step.cancel}")
+        )
     }
 
     private fun now(): Long = node.clock.monotonicMillis()
--- a/entry/src/main/kotlin/bergamotwall/entry/Identity.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Identity.kt
@@ -1,6 +1,7 @@
 package bergamotwall.entry
 
 import bergamotwall.model.CallerIntent
+import bergamotwall.model.CallerName
 import bergamotwall.model.PriorityClass
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
@@ -9,6 +10,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.toResultOr
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.RequestHeaders
 
@@ -26,25 +30,23 @@
 
 /** Tells who sends a request, by the confirmed intents. */
 internal class Identity(private val board: Blackboard) {
-    fun caller(headers: RequestHeaders): Result<CallerIntent, Problem> {
-        val key = bearer(headers) ?: return Err(missing())
+    fun caller(headers: RequestHeaders): Result<CallerIntent, Problem> =
+        bearer(headers).toResultOr { missing() }.flatMap { key -> callerOf(key).toResultOr { unknown() } }
+
+    private fun callerOf(key: String): CallerIntent? {
         val configuration = board.configuration.read()
-        val trainer = configuration.trainer(key)
-        val caller =
-            configuration.caller(key)
-                ?: trainer?.let { CallerIntent(bergamotwall.model.CallerName(it.name.value), key, PriorityClass.TRAINING) }
-        return if (caller == null) Err(unknown()) else Ok(caller)
+        return configuration.caller(key)
+            ?: configuration.trainer(key)?.let { CallerIntent(CallerName(it.name.value), key, PriorityClass.TRAINING) }
     }
 
     fun trainer(
         headers: RequestHeaders,
         name: String,
-    ): Result<TrainerIntent, Problem> {
-        val key = bearer(headers) ?: return Err(missing())
-        val trainer = board.configuration.read().trainer(key) ?: return Err(unknown())
-        if (trainer.name.value != name) return Err(Problem(ProblemKind.FORBIDDEN, "the key belongs to another trainer"))
-        return Ok(trainer)
-    }
+    ): Result<TrainerIntent, Problem> =
+        bearer(headers)
+            .toResultOr { missing() }
+            .flatMap { key -> board.configuration.read().trainer(key).toResultOr { unknown() } }
+            .flatMap { if (it.name.value == name) Ok(it) else Err(otherTrainer) }
 
     private fun bearer(headers: RequestHeaders): String? =
         headers
@@ -66,10 +68,11 @@
     headers: RequestHeaders,
 ): Result<PriorityClass, Problem> {
     val asked = headers.get(PRIORITY_HEADER) ?: return Ok(caller.priorityClass)
-    val named = PriorityClass.entries.find { it.name.equals(asked, ignoreCase = true) }
     val names = PriorityClass.entries.joinToString { it.name.lowercase() }
-    if (named == null) return Err(Problem(ProblemKind.BAD_REQUEST, "header $PRIORITY_HEADER: use one of $names"))
-    return Ok(maxOf(named, caller.priorityClass))
+    return PriorityClass.entries
+        .find { it.name.equals(asked, ignoreCase = true) }
+        .toResultOr { Problem(ProblemKind.BAD_REQUEST, "header $PRIORITY_HEADER: use one of $names") }
+        .map { maxOf(it, caller.priorityClass) }
 }
 
 /** Milliseconds until the caller gives up; [default] if it does not say. */
@@ -82,3 +85,5 @@
     val problem = Problem(ProblemKind.BAD_REQUEST, "header $DEADLINE_HEADER: give a positive number of milliseconds")
     return if (millis == null) Err(problem) else Ok(millis)
 }
+
+private val otherTrainer = Problem(ProblemKind.FORBIDDEN, "the key belongs to another trainer")
--- a/entry/src/main/kotlin/bergamotwall/entry/Manifests.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Manifests.kt
@@ -6,6 +6,7 @@
 import bergamotwall.model.TrainerName
 import bergamotwall.model.WeightVersion
 import bergamotwall.platform.Condition
+import bergamotwall.platform.KeyValueEntry
 import bergamotwall.platform.KeyValueError
 import bergamotwall.platform.KeyValueStore
 import bergamotwall.platform.Transaction
@@ -15,7 +16,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
 
 /** The committed manifest and the published version, with the revisions at which they were read. */
 internal data class HandOverState(
@@ -30,18 +33,21 @@
     suspend fun read(
         trainer: TrainerName,
         model: ModelName,
-    ): Result<HandOverState, KeyValueError> {
-        val manifest = store.get(SharedKeys.manifest(trainer)).fold({ it }, { return Err(it) })
-        val published = store.get(SharedKeys.published(model)).fold({ it }, { return Err(it) })
-        return Ok(
-            HandOverState(
-                manifest = manifest?.let { Jsons.wire.decodeFromString(Manifest.serializer(), it.value) },
-                manifestRevision = manifest?.modRevision ?: 0,
-                published = WeightVersion(published?.value?.toLong() ?: 0),
-                publishedRevision = published?.modRevision ?: 0,
-            ),
+    ): Result<HandOverState, KeyValueError> =
+        store.get(SharedKeys.manifest(trainer)).flatMap { manifest ->
+            store.get(SharedKeys.published(model)).map { stateOf(manifest, it) }
+        }
+
+    private fun stateOf(
+        manifest: KeyValueEntry?,
+        published: KeyValueEntry?,
+    ): HandOverState =
+        HandOverState(
+            manifest = manifest?.let { Jsons.wire.decodeFromString(Manifest.serializer(), it.value) },
+            manifestRevision = manifest?.modRevision ?: 0,
+            published = WeightVersion(published?.value?.toLong() ?: 0),
+            publishedRevision = published?.modRevision ?: 0,
         )
-    }
 
     /**
      * Commits [next] if neither the manifest nor the published version has changed since [state] was read. Returns
--- a/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
@@ -1,5 +1,6 @@
 package bergamotwall.entry
 
+import bergamotwall.decisions.backoffMillis
 import bergamotwall.model.Finished
 import bergamotwall.model.Granted
 import bergamotwall.model.Offer
@@ -9,7 +10,6 @@
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.Withdraw
 import bergamotwall.runtime.Node
-import bergamotwall.decisions.backoffMillis
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
@@ -28,15 +28,19 @@
     ): Result<Granted, Problem> {
         val deadlineMillis = node.clock.monotonicMillis() + offer.deadlineInMillis
         var attempt = 0
-        while (true) {
+        var result: Result<Granted, Problem>? = null
+        while (result == null) {
             val leftMillis = deadlineMillis - node.clock.monotonicMillis()
-            if (leftMillis <= 0) return Err(Problem(ProblemKind.DEADLINE, "the deadline passed before a permit came"))
-            when (val answer = ask(offer.copy(deadlineInMillis = leftMillis), trace)) {
-                is Granted -> return Ok(answer)
-                is PeerRefusal -> return Err(answer.problem)
-                else -> delay(backoffMillis(attempt++, node.random))
-            }
+            val answer = if (leftMillis > 0) ask(offer.copy(deadlineInMillis = leftMillis), trace) else tooLate
+            result =
+                when (answer) {
+                    is Granted -> Ok(answer)
+                    is PeerRefusal -> Err(answer.problem)
+                    else -> null
+                }
+            if (result == null) delay(backoffMillis(attempt++, node.random))
         }
+        return result
     }
 
     /** Returns a permit. Goes on in the background, so that a cancelled request returns it too. */
@@ -52,7 +56,7 @@
         trace: String?,
     ): PeerMessage? {
         val owner = ownerOf(offer.serves, offer.prefix)
-        if (owner == null || owner.id == node.id()) return hub.offer(offer)
+        if (owner == null || owner.id == node.id) return hub.offer(offer)
         var answered = false
         try {
             val answer = node.peers.ask(owner.peerAddress, offer, offer.deadlineInMillis, trace).get()
@@ -76,7 +80,7 @@
         message: Finished,
     ) {
         val owner = ownerOf(serves, prefix)
-        if (owner == null || owner.id == node.id()) {
+        if (owner == null || owner.id == node.id) {
             hub.finished(message)
         } else {
             node.peers.ask(owner.peerAddress, message, TELL_TIMEOUT_MILLIS)
@@ -90,5 +94,6 @@
 
     private companion object {
         private const val TELL_TIMEOUT_MILLIS = 2_000L
+        private val tooLate = PeerRefusal(Problem(ProblemKind.DEADLINE, "the deadline passed before a permit came"))
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/Publications.kt
@@ -0,0 +1,86 @@
+package bergamotwall.entry
+
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.PublishedVersion
+import bergamotwall.model.RunState
+import bergamotwall.model.TrainerIntent
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.Condition
+import bergamotwall.platform.KeyValueEntry
+import bergamotwall.platform.KeyValueError
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.TransactionOutcome
+import bergamotwall.platform.Write
+import bergamotwall.runtime.Decision
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.SharedKeys
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+
+/** Publications of weight versions, kept in the key-value service. */
+internal class Publications(private val node: Node) {
+    /** Records that [version] is [trainer]'s newest; a version that is not newer changes nothing. */
+    suspend fun record(
+        trainer: TrainerIntent,
+        version: WeightVersion,
+    ): Result<PublishedVersion, Problem> {
+        val key = SharedKeys.published(trainer.model)
+        return node.store
+            .get(key)
+            .mapError(::unavailable)
+            .flatMap { write(key, it, version) }
+            .map { announce(trainer, version) }
+    }
+
+    private suspend fun write(
+        key: String,
+        current: KeyValueEntry?,
+        version: WeightVersion,
+    ): Result<Unit, Problem> {
+        val held = WeightVersion(current?.value?.toLong() ?: 0)
+        val condition = Condition.Unchanged(key, current?.modRevision ?: 0)
+        val transaction = Transaction(listOf(condition), listOf(Write.Put(key, version.value.toString())))
+        return when {
+            version < held -> Err(older(version, held))
+            version == held -> Ok(Unit)
+            else ->
+                node.store
+                    .commit(transaction)
+                    .mapError(::unavailable)
+                    .flatMap { if (it is TransactionOutcome.Committed) Ok(Unit) else Err(raced()) }
+        }
+    }
+
+    private fun announce(
+        trainer: TrainerIntent,
+        version: WeightVersion,
+    ): PublishedVersion {
+        val published = PublishedVersion(trainer.model, version)
+        node.keeper.offer(listOf(published))
+        val subject = "version/${trainer.model.value}/${version.value}"
+        node.journal.record(Decision(subject, "published", "its trainer said so", trainer.name.value))
+        return published
+    }
+
+    private fun unavailable(error: KeyValueError): Problem {
+        val applied = error is KeyValueError.Unavailable && error.mayHaveApplied
+        val runState = if (applied) RunState.UNKNOWN else RunState.NOT_RUN
+        return Problem(ProblemKind.UNAVAILABLE, "publish it again: ${error.detail}", runState, RETRY_AFTER_MILLIS)
+    }
+
+    private fun raced(): Problem = Problem(ProblemKind.CONFLICT, "another publication came first: publish again")
+
+    private fun older(
+        version: WeightVersion,
+        held: WeightVersion,
+    ): Problem = Problem(ProblemKind.CONFLICT, "version ${version.value} is older than the published ${held.value}")
+
+    private companion object {
+        private const val RETRY_AFTER_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptTakeOver.kt
@@ -0,0 +1,45 @@
+package bergamotwall.entry
+
+import bergamotwall.model.Jsons
+import bergamotwall.model.Receipt
+import bergamotwall.platform.Condition
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.TransactionOutcome
+import bergamotwall.platform.Write
+import bergamotwall.runtime.SharedKeys
+import com.github.michaelbull.result.get
+
+/** Replaces one receipt by another, only if it is still the expected one. */
+internal class ReceiptTakeOver(private val store: KeyValueStore) {
+    /** Puts [next] where the receipt with [nonce] stands; false if another stands there or it cannot be told. */
+    suspend fun swap(
+        key: String,
+        nonce: String,
+        next: Receipt,
+    ): Boolean {
+        val current = store.get(SharedKeys.receipt(key)).get()
+        val found = current?.let { Jsons.wire.decodeFromString(Receipt.serializer(), it.value) }
+        return current != null && found?.nonce == nonce && write(key, current.modRevision, next)
+    }
+
+    private suspend fun write(
+        key: String,
+        modRevision: Long,
+        next: Receipt,
+    ): Boolean {
+        val name = SharedKeys.receipt(key)
+        val value = Jsons.wire.encodeToString(Receipt.serializer(), next)
+        val lease = store.grantLease(RETENTION_SECONDS).get() ?: return false
+        val transaction = Transaction(
+            listOf(Condition.Unchanged(name, modRevision)),
+            listOf(Write.Put(name, value, lease))
+        )
+        val outcome = store.commit(transaction).get()
+        return if (outcome == null) store.get(name).get()?.value == value else outcome is TransactionOutcome.Committed
+    }
+
+    private companion object {
+        private const val RETENTION_SECONDS = 3_600L
+    }
+}
--- a/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
@@ -32,17 +32,15 @@
  */
 internal class ReceiptWriter(
     private val store: KeyValueStore,
-    private val clock: Clock,
-    private val retentionSeconds: Long = RETENTION_SECONDS,
+    clock: Clock,
+    retentionSeconds: Long = RETENTION_SECONDS,
 ) {
     private class Pending(val key: String, val receipt: Receipt, val reserve: Boolean) {
         val answer = CompletableDeferred<PeerMessage>()
     }
 
-    private class LeaseBucket(val lease: LeaseId, val grantedAtMillis: Long)
-
     private val queue = Channel<Pending>(QUEUE_LENGTH)
-    private var bucket: LeaseBucket? = null
+    private val leases = LeaseBucket(store, clock, retentionSeconds)
 
     fun start(scope: CoroutineScope) {
         scope.launch {
@@ -84,7 +82,7 @@
 
     private suspend fun commit(batch: List<Pending>) {
         if (batch.isEmpty()) return
-        val lease = currentLease()
+        val lease = leases.current()
         if (lease == null) {
             batch.forEach { it.answer.complete(refusal("the key-value service grants no lease")) }
             return
@@ -135,34 +133,24 @@
         return Transaction(
             conditions = reserves.map { Condition.Absent(it) },
             writes =
-                batch.map {
-                    val value = Jsons.wire.encodeToString(Receipt.serializer(), it.receipt)
-                    Write.Put(SharedKeys.receipt(it.key), value, lease)
-                },
+            batch.map {
+                val value = Jsons.wire.encodeToString(Receipt.serializer(), it.receipt)
+                Write.Put(SharedKeys.receipt(it.key), value, lease)
+            },
             orElseRead = reserves,
         )
     }
 
-    private suspend fun currentLease(): LeaseId? {
-        val now = clock.monotonicMillis()
-        val current = bucket
-        if (current != null && now - current.grantedAtMillis < BUCKET_MILLIS) return current.lease
-        val granted = store.grantLease(retentionSeconds + BUCKET_MILLIS / MILLIS_PER_SECOND).get()
-        if (granted != null) bucket = LeaseBucket(granted, now)
-        return granted
-    }
-
-    private fun refusal(detail: String): PeerMessage =
-        PeerRefusal(
-            Problem(ProblemKind.UNAVAILABLE, "no receipt could be kept: $detail", retryAfterMillis = RETRY_AFTER_MILLIS),
-        )
-
     private companion object {
         private const val RETENTION_SECONDS = 3_600L
-        private const val BUCKET_MILLIS = 60_000L
-        private const val MILLIS_PER_SECOND = 1_000L
         private const val QUEUE_LENGTH = 4_096
         private const val MAX_BATCH = 50
-        private const val RETRY_AFTER_MILLIS = 1_000L
     }
 }
+
+private const val RETRY_AFTER_MILLIS = 1_000L
+
+private fun refusal(detail: String): PeerMessage =
+    PeerRefusal(
+        Problem(ProblemKind.UNAVAILABLE, "no receipt could be kept: $detail", retryAfterMillis = RETRY_AFTER_MILLIS),
+    )
--- a/entry/src/main/kotlin/bergamotwall/entry/Receipts.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Receipts.kt
@@ -5,8 +5,8 @@
 import bergamotwall.decisions.hashOf
 import bergamotwall.model.CompleteReceipt
 import bergamotwall.model.Fingerprint
+import bergamotwall.model.Member
 import bergamotwall.model.MemberState
-import bergamotwall.model.NodeId
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
 import bergamotwall.model.Problem
@@ -16,13 +16,7 @@
 import bergamotwall.model.ReceiptPhase
 import bergamotwall.model.ReceiptState
 import bergamotwall.model.ReserveReceipt
-import bergamotwall.model.Jsons
-import bergamotwall.platform.Condition
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
-import bergamotwall.platform.Write
 import bergamotwall.runtime.Node
-import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
@@ -31,6 +25,9 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.absoluteValue
 
+/** One attempt at a request that may run at most once: its key, its content, and the [nonce] that tells it apart. */
+internal data class Attempt(val key: String, val fingerprint: Fingerprint, val nonce: String)
+
 /** Receipts as the request path uses them: reserve before dispatch, complete after the answer. */
 internal class Receipts(
     private val node: Node,
@@ -38,146 +35,106 @@
     private val writer: ReceiptWriter,
 ) {
     private val runs = ConcurrentHashMap<String, ReceiptPhase>()
+    private val takeOver = ReceiptTakeOver(node.store)
 
-    /** Decides what becomes of a request with [key]; a failure means that it was not run. */
-    suspend fun reserve(
-        key: String,
-        fingerprint: Fingerprint,
-        nonce: String,
-    ): Result<ReceiptDecision, Problem> {
-        runs[nonce] = ReceiptPhase.RESERVED
-        val answer = reserveAtOwner(ReserveReceipt(key, fingerprint, nonce, node.id()))
+    /** Decides what becomes of [attempt]; a failure means that it was not run. */
+    suspend fun reserve(attempt: Attempt): Result<ReceiptDecision, Problem> {
+        runs[attempt.nonce] = ReceiptPhase.RESERVED
+        val message = ReserveReceipt(attempt.key, attempt.fingerprint, attempt.nonce, node.id)
+        val answer = atOwner(attempt.key, message) ?: answer(message)
         val found = (answer as? ReceiptState)?.receipt
         if (found == null) {
-            abandon(key, fingerprint, nonce)
-            return Err((answer as? PeerRefusal)?.problem ?: noReceipt())
+            abandon(attempt)
+            return Err((answer as? PeerRefusal)?.problem ?: noReceipt)
         }
-        return Ok(resolve(key, decideReceipt(found, fingerprint, nonce), fingerprint, nonce))
+        return Ok(resolve(attempt, decideReceipt(found, attempt.fingerprint, attempt.nonce)))
     }
 
-    /** Records the outcome of the run under [nonce]; waits until it is durable, or the service cannot be reached. */
+    /** Records the outcome of [attempt]; waits until it is durable, or the service cannot be reached. */
     suspend fun complete(
-        key: String,
+        attempt: Attempt,
         receipt: Receipt,
     ) {
-        runs[receipt.nonce] = receipt.phase
-        val message = CompleteReceipt(key, receipt.nonce, receipt)
-        val owner = owner(key)
-        val answer =
-            if (owner == null || owner.id == node.id()) null else node.peers.ask(owner.peerAddress, message, ASK_MILLIS).get()
-        if (answer !is ReceiptState) writer.replace(key, receipt)
+        runs[attempt.nonce] = receipt.phase
+        val answer = atOwner(attempt.key, CompleteReceipt(attempt.key, attempt.nonce, receipt))
+        if (answer !is ReceiptState) writer.replace(attempt.key, receipt)
     }
 
-    /** Gives up the reservation under [nonce]: from here on it will never be dispatched. */
-    fun abandon(
-        key: String,
-        fingerprint: Fingerprint,
-        nonce: String,
-    ) {
-        runs[nonce] = ReceiptPhase.ABANDONED
-        node.scope.launch {
-            val current = node.store.get(SharedKeys.receipt(key)).get()
-            val found = current?.let { Jsons.wire.decodeFromString(Receipt.serializer(), it.value) }
-            if (found?.nonce == nonce) swap(key, current.modRevision, receipt(ReceiptPhase.ABANDONED, fingerprint, nonce))
-        }
+    /** Gives up the reservation of [attempt]: from here on it will never be dispatched. */
+    fun abandon(attempt: Attempt) {
+        runs[attempt.nonce] = ReceiptPhase.ABANDONED
+        node.scope.launch { takeOver.swap(attempt.key, attempt.nonce, receipt(ReceiptPhase.ABANDONED, attempt)) }
     }
 
     /** A new receipt of this node. */
     fun receipt(
         phase: ReceiptPhase,
-        fingerprint: Fingerprint,
-        nonce: String,
-    ): Receipt = Receipt(phase, nonce, node.id(), fingerprint)
-
-    suspend fun answer(message: ReserveReceipt): PeerMessage =
-        writer.reserve(
-            message.key,
-            Receipt(ReceiptPhase.RESERVED, message.nonce, message.node, message.fingerprint),
-        )
-
-    suspend fun answer(message: CompleteReceipt): PeerMessage = writer.replace(message.key, message.receipt)
-
-    /** What this node knows of the run under the asked nonce; a nonce it does not know is not its own any more. */
-    fun answer(message: QueryReceipt): PeerMessage {
-        val phase = runs[message.nonce] ?: ReceiptPhase.UNKNOWN
-        return ReceiptState(Receipt(phase, message.nonce, node.id(), Fingerprint(0)), reserved = false)
-    }
-
-    private suspend fun reserveAtOwner(message: ReserveReceipt): PeerMessage? {
-        val owner = owner(message.key)
-        if (owner == null || owner.id == node.id()) return answer(message)
-        return node.peers.ask(owner.peerAddress, message, ASK_MILLIS).get() ?: answer(message)
-    }
+        attempt: Attempt,
+    ): Receipt = Receipt(phase, attempt.nonce, node.id, attempt.fingerprint)
+
+    /** Answers a peer that asks this node as the writer of a shard, or as the holder of a reservation. */
+    suspend fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is ReserveReceipt -> {
+                val receipt = Receipt(ReceiptPhase.RESERVED, message.nonce, message.node, message.fingerprint)
+                writer.reserve(message.key, receipt)
+            }
+            is CompleteReceipt -> writer.replace(message.key, message.receipt)
+            is QueryReceipt -> {
+                val phase = runs[message.nonce] ?: ReceiptPhase.UNKNOWN
+                ReceiptState(Receipt(phase, message.nonce, node.id, Fingerprint(0)), reserved = false)
+            }
+            else -> Node.notServed(message)
+        }
 
     private suspend fun resolve(
-        key: String,
+        attempt: Attempt,
         decision: ReceiptDecision,
-        fingerprint: Fingerprint,
-        nonce: String,
     ): ReceiptDecision =
         when (decision) {
-            is ReceiptDecision.TakeOver -> takeOver(key, decision.from, fingerprint, nonce)
-            is ReceiptDecision.AskHolder -> askHolder(key, decision.receipt, fingerprint, nonce)
+            is ReceiptDecision.TakeOver -> takeOver(attempt, decision.from)
+            is ReceiptDecision.AskHolder -> askHolder(attempt, decision.receipt)
             else -> decision
         }
 
     private suspend fun askHolder(
-        key: String,
+        attempt: Attempt,
         held: Receipt,
-        fingerprint: Fingerprint,
-        nonce: String,
     ): ReceiptDecision {
-        val phase = phaseAt(held.node, key, held.nonce)
-        return if (phase == ReceiptPhase.ABANDONED) takeOver(key, held, fingerprint, nonce) else ReceiptDecision.OutcomeUnknown
-    }
-
-    private suspend fun phaseAt(
-        holder: NodeId,
-        key: String,
-        nonce: String,
-    ): ReceiptPhase? {
-        if (holder == node.id()) return runs[nonce]
-        val member = node.board.members.read().find { it.id == holder && it.state != MemberState.DEAD } ?: return null
-        val answer = node.peers.ask(member.peerAddress, QueryReceipt(key, nonce), ASK_MILLIS).get()
-        return (answer as? ReceiptState)?.receipt?.phase
+        val query = QueryReceipt(attempt.key, held.nonce)
+        val holder = node.board.members.read().find { it.id == held.node && it.state != MemberState.DEAD }
+        val answer = if (held.node == node.id) answer(query) else holder?.let { ask(it, query) }
+        val abandoned = (answer as? ReceiptState)?.receipt?.phase == ReceiptPhase.ABANDONED
+        return if (abandoned) takeOver(attempt, held) else ReceiptDecision.OutcomeUnknown
     }
 
     private suspend fun takeOver(
-        key: String,
+        attempt: Attempt,
         from: Receipt,
-        fingerprint: Fingerprint,
-        nonce: String,
     ): ReceiptDecision {
-        val current = node.store.get(SharedKeys.receipt(key)).get() ?: return ReceiptDecision.OutcomeUnknown
-        val found = Jsons.wire.decodeFromString(Receipt.serializer(), current.value)
-        if (found.nonce != from.nonce) return ReceiptDecision.OutcomeUnknown
-        val taken = swap(key, current.modRevision, receipt(ReceiptPhase.RESERVED, fingerprint, nonce))
+        val taken = takeOver.swap(attempt.key, from.nonce, receipt(ReceiptPhase.RESERVED, attempt))
         return if (taken) ReceiptDecision.Dispatch else ReceiptDecision.OutcomeUnknown
     }
 
-    private suspend fun swap(
+    /** The answer of the entry that writes the key's shard; null if that is this node or does not answer. */
+    private suspend fun atOwner(
         key: String,
-        modRevision: Long,
-        receipt: Receipt,
-    ): Boolean {
-        val name = SharedKeys.receipt(key)
-        val value = Jsons.wire.encodeToString(Receipt.serializer(), receipt)
-        val lease = node.store.grantLease(TAKEN_OVER_SECONDS).get() ?: return false
-        val transaction = Transaction(listOf(Condition.Unchanged(name, modRevision)), listOf(Write.Put(name, value, lease)))
-        val outcome = node.store.commit(transaction).get()
-        if (outcome != null) return outcome is TransactionOutcome.Committed
-        return node.store.get(name).get()?.value == value
+        message: PeerMessage,
+    ): PeerMessage? {
+        val owner = fleet.owner("receipts#${hashOf(key).absoluteValue % SHARDS}")
+        return owner?.takeIf { it.id != node.id }?.let { ask(it, message) }
     }
 
-    private fun owner(key: String) = fleet.owner("receipts#${hashOf(key).absoluteValue % SHARDS}")
-
-    private fun noReceipt(): Problem =
-        Problem(ProblemKind.UNAVAILABLE, "no receipt could be kept", retryAfterMillis = RETRY_AFTER_MILLIS)
+    private suspend fun ask(
+        member: Member,
+        message: PeerMessage,
+    ): PeerMessage? = node.peers.ask(member.peerAddress, message, ASK_MILLIS).get()
 
     private companion object {
         private const val SHARDS = 16L
         private const val ASK_MILLIS = 3_000L
         private const val RETRY_AFTER_MILLIS = 1_000L
-        private const val TAKEN_OVER_SECONDS = 3_600L
+        private val noReceipt =
+            Problem(ProblemKind.UNAVAILABLE, "no receipt could be kept", retryAfterMillis = RETRY_AFTER_MILLIS)
     }
 }
--- a/entry/src/main/kotlin/bergamotwall/entry/SampleStores.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/SampleStores.kt
@@ -1,5 +1,6 @@
 package bergamotwall.entry
 
+import bergamotwall.decisions.hashOf
 import bergamotwall.model.Done
 import bergamotwall.model.FetchSamples
 import bergamotwall.model.NodeId
@@ -8,7 +9,6 @@
 import bergamotwall.model.SamplesFound
 import bergamotwall.model.StoreSample
 import bergamotwall.model.TrainerName
-import bergamotwall.decisions.hashOf
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.async
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceCall.kt
@@ -0,0 +1,20 @@
+package bergamotwall.entry
+
+import bergamotwall.model.CallerIntent
+import bergamotwall.model.Fingerprint
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.RequestId
+import bergamotwall.platform.ServiceRequest
+
+/** A checked call of a plain service. [key] recognises it when it is sent again. */
+internal data class ServiceCall(
+    val id: RequestId,
+    val service: String,
+    val caller: CallerIntent,
+    val priorityClass: PriorityClass,
+    val idempotent: Boolean,
+    val key: String,
+    val fingerprint: Fingerprint,
+    val request: ServiceRequest,
+    val deadlineMillis: Long,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -0,0 +1,141 @@
+package bergamotwall.entry
+
+import bergamotwall.decisions.FailedAttempt
+import bergamotwall.decisions.RetryDecision
+import bergamotwall.decisions.decideRetry
+import bergamotwall.model.Finished
+import bergamotwall.model.Granted
+import bergamotwall.model.Offer
+import bergamotwall.model.Problem
+import bergamotwall.model.RequestId
+import bergamotwall.model.RunOutcome
+import bergamotwall.model.TargetId
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.ServiceAnswer
+import bergamotwall.platform.ServiceDriver
+import bergamotwall.platform.TargetError
+import bergamotwall.runtime.Decision
+import bergamotwall.runtime.Node
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.delay
+
+/** Runs calls of plain services: permit, target, and another target only where that is safe. */
+internal class ServiceRunner(
+    private val node: Node,
+    private val permits: Permits,
+    private val services: ServiceDriver,
+    private val budgets: Budgets,
+) {
+    suspend fun run(
+        call: ServiceCall,
+        trace: String,
+    ): Result<ServiceAnswer, Problem> {
+        budgets.attempted(call.caller.name.value)
+        var attempt = 1
+        var lastFailed: TargetId? = null
+        var result: Result<ServiceAnswer, Problem>? = null
+        while (result == null) {
+            val offer = offer(call, attempt, lastFailed)
+            result =
+                permits.acquire(offer, trace).fold(
+                    success = { permit ->
+                        lastFailed = permit.target
+                        attempt(call, offer, permit).fold({ Ok(it) }, { failed(call, attempt, it) })
+                    },
+                    failure = { Err(it) },
+                )
+            attempt++
+        }
+        return result
+    }
+
+    /** The final answer after a failed attempt, or null after the pause before the next one. */
+    private suspend fun failed(
+        call: ServiceCall,
+        attempt: Int,
+        error: TargetError,
+    ): Result<ServiceAnswer, Problem>? {
+        val failed =
+            FailedAttempt(
+                attempt = attempt,
+                outcome = outcomeOf(error),
+                idempotent = call.idempotent,
+                budgetLeft = budgets.take(call.caller.name.value),
+                nowMillis = node.clock.monotonicMillis(),
+                deadlineMillis = call.deadlineMillis,
+            )
+        val decision = decideRetry(failed, node.random)
+        node.journal.record(Decision("request/${call.id.value}", decision.toString(), error.detail, "attempt $attempt"))
+        return when (decision) {
+            is RetryDecision.GiveUp ->
+                Err(Problem(decision.kind, "${decision.rule}: ${error.detail}", decision.runState, RETRY_AFTER_MILLIS))
+            is RetryDecision.Retry -> {
+                delay(decision.delayMillis)
+                null
+            }
+        }
+    }
+
+    private suspend fun attempt(
+        call: ServiceCall,
+        offer: Offer,
+        permit: Granted,
+    ): Result<ServiceAnswer, TargetError> {
+        val startedMillis = node.clock.monotonicMillis()
+        var outcome = RunOutcome.CANCELLED
+        try {
+            val leftMillis = maxOf(1, call.deadlineMillis - startedMillis)
+            val result = services.call(permit.address, call.request.copy(timeoutMillis = leftMillis))
+            outcome = result.fold({ RunOutcome.WHOLE }, { outcomeOf(it) })
+            return result
+        } finally {
+            permits.finish(finished(offer, permit, outcome, node.clock.monotonicMillis() - startedMillis), offer.prefix)
+        }
+    }
+
+    private fun offer(
+        call: ServiceCall,
+        attempt: Int,
+        lastFailed: TargetId?,
+    ): Offer =
+        Offer(
+            request = RequestId("${call.id.value}.$attempt"),
+            requester = node.id,
+            serves = call.service,
+            priorityClass = call.priorityClass,
+            flow = call.caller.name.value,
+            sequence = 0,
+            prefix = call.fingerprint.value,
+            fingerprint = call.fingerprint,
+            minVersion = WeightVersion(0),
+            expectedTokens = 1,
+            deadlineInMillis = call.deadlineMillis - node.clock.monotonicMillis(),
+            excluded = setOfNotNull(lastFailed),
+            dataCentre = node.settings.dataCentre,
+        )
+
+    private fun finished(
+        offer: Offer,
+        permit: Granted,
+        outcome: RunOutcome,
+        durationMillis: Long,
+    ): Finished =
+        Finished(
+            request = offer.request,
+            serves = offer.serves,
+            target = permit.target,
+            fingerprint = offer.fingerprint,
+            outcome = outcome,
+            firstTokenMillis = durationMillis,
+            durationMillis = durationMillis,
+            tokens = 1,
+            versions = emptyList(),
+        )
+
+    private companion object {
+        private const val RETRY_AFTER_MILLIS = 1_000L
+    }
+}
--- a/entry/src/main/kotlin/bergamotwall/entry/TrainerApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/TrainerApi.kt
@@ -2,21 +2,11 @@
 
 import bergamotwall.model.Batch
 import bergamotwall.model.BatchOrder
-import bergamotwall.model.ModelName
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.PublishedVersion
-import bergamotwall.model.RunState
 import bergamotwall.model.TrainerIntent
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.Condition
-import bergamotwall.platform.KeyValueError
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
-import bergamotwall.platform.Write
-import bergamotwall.runtime.Decision
-import bergamotwall.runtime.Node
-import bergamotwall.runtime.SharedKeys
 import bergamotwall.runtime.jsonResponse
 import bergamotwall.runtime.problemResponse
 import com.github.michaelbull.result.Err
@@ -42,7 +32,7 @@
 
 /** Serves `/v1/trainers/{name}/…`: orders of batches and publications of weight versions. */
 internal class TrainerApi(
-    private val node: Node,
+    private val publications: Publications,
     private val identity: Identity,
     private val coordinator: BatchCoordinator,
 ) {
@@ -54,13 +44,21 @@
             binding {
                 val trainer = identity.trainer(request.headers(), context.pathParam("name").orEmpty()).bind()
                 val number = numberOf(context.pathParam("number")).bind()
-                AcceptedOrder(trainer, number, checked(readBody(BatchOrder.serializer(), request.contentUtf8()).bind()).bind())
+                AcceptedOrder(
+                    trainer,
+                    number,
+                    checked(readBody(BatchOrder.serializer(), request.contentUtf8()).bind()).bind()
+                )
             }
         val order = accepted.fold({ it }, { return problemResponse(it) })
         return when (val answer = coordinator.order(order.trainer, order.number, order.order)) {
             is BatchAnswer.Ready -> jsonResponse(Batch.serializer(), answer.batch)
             is BatchAnswer.Pending ->
-                jsonResponse(BatchProgress.serializer(), BatchProgress(answer.ready, answer.wanted), HttpStatus.ACCEPTED)
+                jsonResponse(
+                    BatchProgress.serializer(),
+                    BatchProgress(answer.ready, answer.wanted),
+                    HttpStatus.ACCEPTED
+                )
             is BatchAnswer.Elsewhere -> redirect("http://${answer.member.httpAddress}${context.path()}")
             is BatchAnswer.Refused -> problemResponse(answer.problem)
         }
@@ -74,7 +72,7 @@
             identity.trainer(request.headers(), context.pathParam("name").orEmpty()).fold(
                 success = { trainer ->
                     readBody(Publication.serializer(), request.contentUtf8())
-                        .fold({ record(trainer, WeightVersion(it.version)) }, { Err(it) })
+                        .fold({ publications.record(trainer, WeightVersion(it.version)) }, { Err(it) })
                 },
                 failure = { Err(it) },
             )
@@ -98,42 +96,4 @@
         HttpResponse.of(
             ResponseHeaders.builder(HttpStatus.TEMPORARY_REDIRECT).set(HttpHeaderNames.LOCATION, location).build(),
         )
-
-    private suspend fun record(
-        trainer: TrainerIntent,
-        version: WeightVersion,
-    ): Result<PublishedVersion, Problem> {
-        val key = SharedKeys.published(trainer.model)
-        val current = node.store.get(key).fold({ it }, { return Err(unavailable(it)) })
-        val held = WeightVersion(current?.value?.toLong() ?: 0)
-        if (version < held) return Err(older(version, held))
-        if (version > held) {
-            val condition = Condition.Unchanged(key, current?.modRevision ?: 0)
-            val put = Write.Put(key, version.value.toString())
-            val outcome = node.store.commit(Transaction(listOf(condition), listOf(put)))
-            outcome.fold({ if (it !is TransactionOutcome.Committed) return Err(raced()) }, { return Err(unavailable(it)) })
-        }
-        val published = PublishedVersion(trainer.model, version)
-        node.keeper.offer(listOf(published))
-        val subject = "version/${trainer.model.value}/${version.value}"
-        node.journal.record(Decision(subject, "published", "its trainer said so", trainer.name.value))
-        return Ok(published)
-    }
-
-    private fun unavailable(error: KeyValueError): Problem {
-        val applied = error is KeyValueError.Unavailable && error.mayHaveApplied
-        val runState = if (applied) RunState.UNKNOWN else RunState.NOT_RUN
-        return Problem(ProblemKind.UNAVAILABLE, "publish it again: ${error.detail}", runState, RETRY_AFTER_MILLIS)
-    }
-
-    private fun raced(): Problem = Problem(ProblemKind.CONFLICT, "another publication came first: publish again")
-
-    private fun older(
-        version: WeightVersion,
-        held: WeightVersion,
-    ): Problem = Problem(ProblemKind.CONFLICT, "version ${version.value} is older than the published ${held.value}")
-
-    private companion object {
-        private const val RETRY_AFTER_MILLIS = 500L
-    }
 }
--- a/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
@@ -19,8 +19,10 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.Logger
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -108,17 +110,22 @@
         val answer = CompletableDeferred<PeerMessage?>()
         waiting[id] = answer
         try {
-            if (closed) return null
-            val frame = encodeFrame(Envelope(id, false, trace, message))
-            if (outgoing.trySend(frame).isFailure) outgoing.send(frame)
-            return answer.await()
-        } catch (e: kotlinx.coroutines.channels.ClosedSendChannelException) {
-            return null
+            val sent = !closed && send(encodeFrame(Envelope(id, false, trace, message)))
+            return if (sent) answer.await() else null
         } finally {
             waiting.remove(id)
         }
     }
 
+    private suspend fun send(frame: ByteArray): Boolean =
+        try {
+            outgoing.send(frame)
+            true
+        } catch (e: ClosedSendChannelException) {
+            Logger.debug("peer connection closed: {}", e.message)
+            false
+        }
+
     private suspend fun write() {
         val channel = socket.openWriteChannel()
         for (frame in outgoing) {
--- a/runtime/src/main/kotlin/bergamotwall/runtime/DocumentKeeper.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/DocumentKeeper.kt
@@ -17,7 +17,9 @@
         val before = board.configuration.read().revision
         val after = board.configuration.update { adopt(it, offered) }.revision
         if (after > before) {
-            journal.record(Decision("revision/${after.value}", "adopted", "a higher revision", cause, "held ${before.value}"))
+            journal.record(
+                Decision("revision/${after.value}", "adopted", "a higher revision", cause, "held ${before.value}")
+            )
         }
     }
 
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Journal.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Journal.kt
@@ -6,15 +6,6 @@
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReferenceArray
 
-/** What happened, for [Journal.record]. */
-public data class Decision(
-    val subject: String,
-    val decision: String,
-    val rule: String,
-    val cause: String = "",
-    val inputs: String = "",
-)
-
 /** Bounded record of this process's decisions; the eldest make room. Safe for many writers, none of which waits. */
 public class Journal(private val node: NodeId, private val clock: Clock, capacity: Int = DEFAULT_CAPACITY) {
     private val events = AtomicReferenceArray<JournalEvent>(capacity)
@@ -33,7 +24,14 @@
                 inputs = decision.inputs,
             )
         events.set((next.getAndIncrement() % events.length()).toInt(), event)
-        Logger.debug("subject={} decision=\"{}\" rule=\"{}\" cause=\"{}\" inputs=\"{}\"", event.subject, event.decision, event.rule, event.cause, event.inputs)
+        Logger.debug(
+            "subject={} decision=\"{}\" rule=\"{}\" cause=\"{}\" inputs=\"{}\"",
+            event.subject,
+            event.decision,
+            event.rule,
+            event.cause,
+            event.inputs
+        )
     }
 
     /** Events whose subject is, or starts with, [subject], eldest first. */
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Logs.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Logs.kt
@@ -10,7 +10,10 @@
     val quiet = if (level == "debug" || level == "trace") "info" else "warn"
     Configuration.set("writer", "console")
     Configuration.set("writer.stream", "err")
-    Configuration.set("writer.format", "ts={date:yyyy-MM-dd'T'HH:mm:ss.SSS} level={level} process=$process at={class-name} {message}")
+    Configuration.set(
+        "writer.format",
+        "ts={date:yyyy-MM-dd'T'HH:mm:ss.SSS} level={level} process=$process at={class-name} {message}"
+    )
     Configuration.set("level", quiet)
     Configuration.set("level@bergamotwall", level)
 }
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Metrics.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Metrics.kt
@@ -36,7 +36,8 @@
     public val retries: Counter = counter("bergamotwall_retries", "Attempts after the first.", "reason")
 
     /** Calls to the key-value service. */
-    public val keyValueCalls: Counter = counter("bergamotwall_key_value_calls", "Calls to the key-value service.", "call")
+    public val keyValueCalls: Counter =
+        counter("bergamotwall_key_value_calls", "Calls to the key-value service.", "call")
 
     /** Current values, by name. */
     public val gauges: Gauge =
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
@@ -5,6 +5,7 @@
 import bergamotwall.model.IndirectProbe
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
+import bergamotwall.model.NodeId
 import bergamotwall.model.NodeRole
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
@@ -17,7 +18,7 @@
 import bergamotwall.peers.PeerHandler
 import bergamotwall.peers.PeerServer
 import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.etcd.EtcdKeyValueStore
+import bergamotwall.platform.etcd.KeyValueStore
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServerBuilder
 import kotlinx.coroutines.CoroutineScope
@@ -37,6 +38,9 @@
     public val settings: Settings,
     public val role: NodeRole,
 ) {
+    /** Identity of the process. */
+    public val id: NodeId get() = settings.id
+
     /** Clock of the process. */
     public val clock: Clock = SystemClock
 
@@ -65,7 +69,7 @@
     public val peers: PeerClient = PeerClient()
 
     /** The platform's key-value service. */
-    public val store: KeyValueStore = CountedKeyValueStore(EtcdKeyValueStore(settings.keyValueAddress), metrics)
+    public val store: KeyValueStore = CountedKeyValueStore(KeyValueStore(settings.keyValueAddress), metrics)
 
     /** Reader of what is shared through the key-value service. */
     public val shared: SharedReader = SharedReader(store, keeper)
@@ -86,7 +90,8 @@
         handler: PeerHandler,
         routes: (ServerBuilder) -> Unit,
     ) {
-        peerServer = PeerServer(settings.peerAddress) { message, trace -> answer(message) ?: handler.answer(message, trace) }
+        peerServer =
+            PeerServer(settings.peerAddress) { message, trace -> answer(message) ?: handler.answer(message, trace) }
         loop.start(scope)
         scope.launch { shared.readAll() }
         httpServer = httpServer(routes).also { it.start().join() }
--- a/runtime/src/main/kotlin/bergamotwall/runtime/NodeCommand.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/NodeCommand.kt
@@ -57,7 +57,11 @@
 
 /** Reads and checks [file]. */
 public fun readSettings(file: File): Result<Settings, List<DocumentProblem>> {
-    if (!file.isFile) return Err(listOf(DocumentProblem(file.path, 1, "--settings", "no such file", "name an existing file")))
+    if (!file.isFile) {
+        return Err(
+            listOf(DocumentProblem(file.path, 1, "--settings", "no such file", "name an existing file"))
+        )
+    }
     val text = file.readText()
     return readDocument(Settings.serializer(), text, file.path)
         .mapError { listOf(it) }
@@ -68,6 +72,7 @@
 }
 
 /** Runs the process [name] with the arguments [args]; returns its exit code. */
+@Suppress("SpreadOperator") // picocli takes its arguments so
 public fun runNode(
     name: String,
     args: Array<String>,
--- a/samples/src/main/kotlin/bergamotwall/samples/SampleLog.kt
+++ b/samples/src/main/kotlin/bergamotwall/samples/SampleLog.kt
@@ -22,7 +22,9 @@
 
 /** Opens files of the local disk. */
 public val localFiles: FileOpener =
-    FileOpener { FileChannel.open(it.toPath(), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.READ) }
+    FileOpener {
+        FileChannel.open(it.toPath(), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.READ)
+    }
 
 /**
  * Durable samples in append-only files, one a trainer. Each line carries its checksum.
@@ -153,17 +155,6 @@
         return file
     }
 
-    private fun line(record: SampleRecord): String {
-        val json = Jsons.wire.encodeToString(SampleRecord.serializer(), record)
-        return "${hashOf(json)} $json\n"
-    }
-
-    private fun parse(line: String): SampleRecord? {
-        val json = line.substringAfter(' ', "")
-        val sound = line.substringBefore(' ') == hashOf(json).toString()
-        return if (sound) Jsons.wire.decodeFromString(SampleRecord.serializer(), json) else null
-    }
-
     private companion object {
         private const val SUFFIX = ".samples"
         private const val COMPACT_LINES = 1_000
@@ -175,3 +166,14 @@
     byte: Byte,
     start: Int,
 ): Int = (start until size).firstOrNull { this[it] == byte } ?: -1
+
+private fun line(record: SampleRecord): String {
+    val json = Jsons.wire.encodeToString(SampleRecord.serializer(), record)
+    return "${hashOf(json)} $json\n"
+}
+
+private fun parse(line: String): SampleRecord? {
+    val json = line.substringAfter(' ', "")
+    val sound = line.substringBefore(' ') == hashOf(json).toString()
+    return if (sound) Jsons.wire.decodeFromString(SampleRecord.serializer(), json) else null
+}
--- a/samples/src/main/kotlin/bergamotwall/samples/SampleStore.kt
+++ b/samples/src/main/kotlin/bergamotwall/samples/SampleStore.kt
@@ -27,7 +27,7 @@
 import kotlin.system.exitProcess
 
 /** Starts a sample store: keeps sample bodies in the data folder until their trainer has acknowledged them. */
-public fun SampleStore(settings: Settings): Node {
+public fun startSampleStore(settings: Settings): Node {
     val node = Node(settings, NodeRole.SAMPLES)
     val folder = requireNotNull(settings.dataFolder) { "settings: dataFolder is missing: name the folder for samples" }
     SampleStoreWiring(node, SampleLog(File(folder))).start()
@@ -86,7 +86,11 @@
     ) {
         val samples = group.map { (it.message as StoreSample).sample }
         val answer = answerOf(log.append(key.trainer, key.batch, samples))
-        samples.forEach { node.journal.record(Decision("sample/${it.id.value}", "kept", "forced to disk", answer.toString())) }
+        samples.forEach {
+            node.journal.record(
+                Decision("sample/${it.id.value}", "kept", "forced to disk", answer.toString())
+            )
+        }
         group.forEach { it.answer.complete(answer) }
     }
 
@@ -110,5 +114,5 @@
 
 /** Entry point of `bergamotwall-samples`. */
 public fun main(args: Array<String>) {
-    exitProcess(runNode("samples", args, ::SampleStore))
+    exitProcess(runNode("samples", args, ::startSampleStore))
 }
--- a/standins/src/main/kotlin/bergamotwall/standins/CallerStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/CallerStandIn.kt
@@ -100,11 +100,20 @@
             val outcome = outcomeOf(reply, check)
             val tookMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI
             records.add(
-                CallRecord(options.name, kind, key, outcome.outcome, outcome.detail, address, System.currentTimeMillis(), tookMillis),
+                CallRecord(
+                    options.name,
+                    kind,
+                    key,
+                    outcome.outcome,
+                    outcome.detail,
+                    address,
+                    System.currentTimeMillis(),
+                    tookMillis
+                ),
             )
             if (reply.answer == null) picker.failed(address)
-            val final = outcome.outcome == CallOutcome.WHOLE || outcome.outcome == CallOutcome.UNKNOWN && kind == CallKind.SERVICE
-            if (final || tookMillis > GIVE_UP_MILLIS) return
+            val unrepeatable = outcome.outcome == CallOutcome.UNKNOWN && kind == CallKind.SERVICE
+            if (outcome.outcome == CallOutcome.WHOLE || unrepeatable || tookMillis > GIVE_UP_MILLIS) return
             delay(outcome.retryAfterMillis ?: RETRY_MILLIS)
         }
     }
@@ -113,8 +122,18 @@
         reply: Reply,
         check: (AggregatedHttpResponse) -> Outcome,
     ): Outcome {
-        val answer = reply.answer ?: return Outcome(CallOutcome.CUT, reply.failure, null)
-        if (answer.status() == HttpStatus.OK) return check(answer)
+        val answer = reply.answer
+        return when {
+            answer == null -> Outcome(CallOutcome.CUT, reply.failure, null)
+            answer.status() == HttpStatus.OK -> check(answer)
+            else -> refusal(answer, reply)
+        }
+    }
+
+    private fun refusal(
+        answer: AggregatedHttpResponse,
+        reply: Reply,
+    ): Outcome {
         val problem = reply.problem
         val notRun = problem?.runState == RunState.NOT_RUN
         val detail = "${answer.status().code()} ${problem?.detail}"
@@ -127,7 +146,11 @@
         stream: Boolean,
     ): Outcome {
         val body = answer.contentUtf8()
-        val events = body.lines().filter { it.startsWith("data: {") && "choices" in it }.map { it.removePrefix("data: ") }
+        val events = body.lines().filter { it.startsWith("data: {") && "choices" in it }.map {
+            it.removePrefix(
+                "data: "
+            )
+        }
         val choices =
             (if (stream) events else listOf(body)).flatMap {
                 Jsons.wire.decodeFromString(AnsweredCompletion.serializer(), it).choices
--- a/standins/src/main/kotlin/bergamotwall/standins/ClientCommands.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/ClientCommands.kt
@@ -35,7 +35,7 @@
     var bound = 0
 
     @Option(names = ["--seconds"])
-    var seconds = 10L
+    var seconds = DEFAULT_SECONDS
 
     @Option(names = ["--seed"])
     var seed = 1L
@@ -62,6 +62,8 @@
 }
 
 private const val MILLIS_PER_SECOND = 1_000L
+private const val DEFAULT_SECONDS = 10L
+private const val DEFAULT_TIMES = 3
 
 /** Runs an application caller. */
 @Command(name = "caller")
@@ -82,7 +84,7 @@
     lateinit var entries: List<String>
 
     @Option(names = ["--seconds"])
-    var seconds = 10L
+    var seconds = DEFAULT_SECONDS
 
     @Option(names = ["--seed"])
     var seed = 1L
@@ -91,7 +93,15 @@
     lateinit var records: File
 
     override fun call(): Int {
-        val options = CallerOptions(name, key, model, service, entries, runMillis = seconds * MILLIS_PER_SECOND, seed = seed)
+        val options = CallerOptions(
+            name,
+            key,
+            model,
+            service,
+            entries,
+            runMillis = seconds * MILLIS_PER_SECOND,
+            seed = seed
+        )
         runBlocking { CallerStandIn(options, records).run() }
         return 0
     }
@@ -104,7 +114,7 @@
     lateinit var controllers: List<String>
 
     @Option(names = ["--seconds"])
-    var seconds = 10L
+    var seconds = DEFAULT_SECONDS
 
     @Option(names = ["--records"], required = true)
     lateinit var records: File
@@ -169,12 +179,14 @@
     lateinit var model: String
 
     @Option(names = ["--times"])
-    var times = 3
+    var times = DEFAULT_TIMES
 
     override fun call(): Int {
         val body = "{\"model\": \"$model\", \"prompt\": \"poison ${model}\", \"max_tokens\": 20}"
         runBlocking {
-            repeat(times) { Calls(key).post("http://${entries[it % entries.size]}/v1/completions", body, POISON_MILLIS) }
+            repeat(
+                times
+            ) { Calls(key).post("http://${entries[it % entries.size]}/v1/completions", body, POISON_MILLIS) }
         }
         return 0
     }
--- a/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
@@ -1,6 +1,5 @@
 package bergamotwall.standins
 
-import bergamotwall.decisions.prefixOf
 import bergamotwall.model.FencingNumber
 import bergamotwall.model.Jsons
 import bergamotwall.model.Problem
@@ -35,37 +34,11 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import java.util.UUID
-import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 
-/** Settings of the engine stand-in. */
-public data class EngineOptions(
-    val id: String,
-    val address: String,
-    val model: String,
-    val slots: Int = 8,
-    val tokenMillis: Double = 4.0,
-    val prefillMillis: Double = 20.0,
-    val medianTokens: Int = 40,
-    val tailSigma: Double = 0.8,
-    val swapMillis: Long = 300,
-    val swapFailPercent: Int = 0,
-    val checksFencing: Boolean = false,
-    val reportLagMillis: Long = 300,
-    val weightStoreAddress: String? = null,
-    val seed: Long = 1,
-    val crashWord: String = "poison",
-)
-
-/** What happens when a request crashes the engine. */
-public fun interface CrashAction {
-    /** Ends the process, or what stands for it. */
-    public fun crash()
-}
-
 /**
  * Stand-in for a model engine: batches up to its slots in order of arrival, knows no priorities, caches prefixes,
  * reports with a lag, swaps weights on order while running requests go on and end with the new version.
@@ -89,9 +62,7 @@
     private val highestFence = AtomicReference(FencingNumber(0))
     private val lagged = AtomicReference(TargetReport())
     private val bootId = UUID.randomUUID().toString()
-    private val cache = ConcurrentLinkedQueue<Long>()
-    private val cacheEvents = ConcurrentLinkedQueue<Long>()
-    private val cacheSequence = AtomicLong()
+    private val cache = PrefixCache()
     private val faults: Random = model.random()
     private val server: Server
 
@@ -129,7 +100,7 @@
     }
 
     private fun report(): TargetReport {
-        val events = generateSequence { cacheEvents.poll() }.toList()
+        val events = cache.events()
         return TargetReport(
             version = version.get(),
             swappingTo = swappingTo.get(),
@@ -137,7 +108,7 @@
             slots = options.slots,
             bootId = bootId,
             cachedPrefixes = events,
-            cacheSequence = cacheSequence.addAndGet(events.size.toLong()),
+            cacheSequence = cache.sequence,
         )
     }
 
@@ -172,7 +143,7 @@
     ) {
         decoding.incrementAndGet()
         try {
-            delay((model.prefill(cached(call.prompt)) * slowness).toLong())
+            delay((model.prefill(cache.hit(call.prompt)) * slowness).toLong())
             if (options.crashWord in call.prompt) onCrash.crash()
             val done = TokenText.count(call.resumeFrom)
             val length = model.length(call.prompt, call.requestId, call.maxTokens + done)
@@ -205,17 +176,6 @@
         writer.whenConsumed().await()
     }
 
-    private fun cached(prompt: String): Boolean {
-        val prefix = prefixOf(prompt)
-        val hit = prefix in cache
-        if (!hit) {
-            cache.add(prefix)
-            cacheEvents.add(prefix)
-            if (cache.size > CACHED_PREFIXES) cache.poll()
-        }
-        return hit
-    }
-
     private fun order(request: AggregatedHttpRequest): HttpResponse {
         val order = Jsons.wire.decodeFromString(WeightOrder.serializer(), request.contentUtf8())
         val highest = highestFence.accumulateAndGet(order.fence) { a, b -> maxOf(a, b) }
@@ -242,7 +202,6 @@
     }
 
     private companion object {
-        private const val CACHED_PREFIXES = 64
         private const val LOAD_RETRY_MILLIS = 100L
         private const val PERCENT = 100
     }
--- a/standins/src/main/kotlin/bergamotwall/standins/EntryPicker.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/EntryPicker.kt
@@ -26,7 +26,9 @@
     /** Address to use now. */
     suspend fun address(): String {
         while (true) {
-            kept.get()?.takeIf { it.untilNanos > System.nanoTime() && it.addresses.isNotEmpty() }?.let { return it.addresses.first() }
+            kept.get()?.takeIf {
+                it.untilNanos > System.nanoTime() && it.addresses.isNotEmpty()
+            }?.let { return it.addresses.first() }
             bootstrap.shuffled().firstNotNullOfOrNull { ask(it) }?.let { kept.set(it) } ?: delay(RETRY_MILLIS)
         }
     }
--- a/standins/src/main/kotlin/bergamotwall/standins/KeyValueStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueStandIn.kt
@@ -80,8 +80,14 @@
     }
 
     private fun routes(builder: ServerBuilder) {
-        builder.call("/v3/kv/range", reads) { answer(it, RangeRequest.serializer(), RangeResponse.serializer()) { q -> state.range(q) } }
-        builder.call("/v3/kv/txn", writes) { answer(it, TxnRequest.serializer(), TxnResponse.serializer()) { q -> state.txn(q) } }
+        builder.call(
+            "/v3/kv/range",
+            reads
+        ) { answer(it, RangeRequest.serializer(), RangeResponse.serializer()) { q -> state.range(q) } }
+        builder.call(
+            "/v3/kv/txn",
+            writes
+        ) { answer(it, TxnRequest.serializer(), TxnResponse.serializer()) { q -> state.txn(q) } }
         builder.call("/v3/lease/grant", writes) { body ->
             answer(body, LeaseGrantRequest.serializer(), LeaseResponse.serializer()) { q ->
                 LeaseResponse(state.grant(q.ttlSeconds.toLong()).toString(), q.ttlSeconds)
@@ -121,7 +127,7 @@
         counter.incrementAndGet()
         val now = current()
         if (now.slowMillis > 0) delay(now.slowMillis)
-        val lost = now.lostAnswerPercent > 0 && withContext(confined) { random.nextInt(PERCENT) } < now.lostAnswerPercent
+        val lost = withContext(confined) { random.nextInt(PERCENT) } < now.lostAnswerPercent
         if (now.outage) {
             unavailable()
         } else {
--- a/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
@@ -2,29 +2,27 @@
 
 import bergamotwall.platform.etcd.Compare
 import bergamotwall.platform.etcd.EtcdKeyValue
+import bergamotwall.platform.etcd.RangeRequest
+import bergamotwall.platform.etcd.RangeResponse
 import bergamotwall.platform.etcd.RequestOp
 import bergamotwall.platform.etcd.ResponseHeader
 import bergamotwall.platform.etcd.ResponseOp
-import bergamotwall.platform.etcd.RangeRequest
-import bergamotwall.platform.etcd.RangeResponse
 import bergamotwall.platform.etcd.TxnRequest
 import bergamotwall.platform.etcd.TxnResponse
+import java.util.Base64
 import java.util.TreeMap
 
 /** State of the key-value stand-in, with the semantics of the etcd v3 API that the fleet uses. Not thread-safe. */
-internal class KeyValueState(private val nowMillis: () -> Long) {
-    private class Lease(val ttlMillis: Long, var expiresAtMillis: Long)
-
+internal class KeyValueState(nowMillis: () -> Long) {
     private val entries = TreeMap<String, EtcdKeyValue>()
     private val history = ArrayList<EtcdKeyValue>()
-    private val leases = HashMap<Long, Lease>()
-    private var nextLease = 1L
+    private val leases = LeaseTable(nowMillis)
 
     var revision = 1L
         private set
 
     fun range(request: RangeRequest): RangeResponse {
-        expire()
+        leases.expired().forEach { revoke(it) }
         val end = request.rangeEnd
         val found =
             if (end == null) {
@@ -36,7 +34,7 @@
     }
 
     fun txn(request: TxnRequest): TxnResponse {
-        expire()
+        leases.expired().forEach { revoke(it) }
         val succeeded = request.compare.all { holds(it) }
         val operations = if (succeeded) request.success else request.failure
         if (operations.any { it.put != null || it.delete != null }) revision++
@@ -44,24 +42,16 @@
         return TxnResponse(header(), succeeded, responses)
     }
 
-    fun grant(ttlSeconds: Long): Long {
-        expire()
-        val id = nextLease++
-        leases[id] = Lease(ttlSeconds * MILLIS, nowMillis() + ttlSeconds * MILLIS)
-        return id
-    }
+    fun grant(ttlSeconds: Long): Long = leases.grant(ttlSeconds)
 
     /** Seconds that [lease] has after the renewal; 0 if it has lapsed. */
     fun keepAlive(lease: Long): Long {
-        expire()
-        val held = leases[lease] ?: return 0
-        held.expiresAtMillis = nowMillis() + held.ttlMillis
-        return held.ttlMillis / MILLIS
+        leases.expired().forEach { revoke(it) }
+        return leases.keepAlive(lease)
     }
 
     fun revoke(lease: Long) {
-        leases.remove(lease) ?: return
-        dropOf(lease)
+        if (leases.revoke(lease)) dropOf(lease)
     }
 
     /** Entries put under [key] to [end] from [fromRevision] on. */
@@ -91,25 +81,16 @@
         return (actual ?: "0") == wanted
     }
 
-    private fun expire() {
-        val over = leases.filterValues { it.expiresAtMillis <= nowMillis() }.keys.toList()
-        over.forEach { revoke(it) }
-    }
-
     private fun dropOf(lease: Long) {
         if (entries.values.removeIf { it.lease == lease.toString() }) revision++
     }
+}
 
-    /** Order of base64 texts equals that of the bytes only after decoding. */
-    private fun inRange(
-        key: String,
-        from: String,
-        to: String,
-    ): Boolean = decoded(key) >= decoded(from) && decoded(key) < decoded(to)
-
-    private fun decoded(text: String): String = String(java.util.Base64.getDecoder().decode(text))
+/** Order of base64 texts equals that of the bytes only after decoding. */
+private fun inRange(
+    key: String,
+    from: String,
+    to: String,
+): Boolean = decoded(key) >= decoded(from) && decoded(key) < decoded(to)
 
-    private companion object {
-        private const val MILLIS = 1_000L
-    }
-}
+private fun decoded(text: String): String = String(Base64.getDecoder().decode(text))
--- a/standins/src/main/kotlin/bergamotwall/standins/RunRecords.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/RunRecords.kt
@@ -5,7 +5,6 @@
 import kotlin.math.abs
 
 private const val FAULT_WINDOW_MILLIS = 12_000L
-private const val P99 = 0.99
 
 /** All records of a run, and what follows from them. */
 internal class RunRecords(private val folder: File) {
@@ -50,30 +49,18 @@
 
     /** Whether a fault at the entry that [call] used explains why it was cut. */
     fun explainedByFault(call: CallRecord): Boolean =
-        faults.any { it.kind != "planned" && it.address == call.entry && abs(it.atMillis - call.atMillis) < FAULT_WINDOW_MILLIS }
+        faults.any {
+            it.kind != "planned" && it.address == call.entry && abs(it.atMillis - call.atMillis) < FAULT_WINDOW_MILLIS
+        }
 
-    /** Samples older than the bound for trainers that do not publish: against what was published before they ordered. */
+    /** Batches with samples older than the bound, against what anyone had published before the order. */
     fun staleForOthers(): Int =
         batches.count { batch ->
             val newest = published.filter { it.atMillis < batch.orderedAtMillis }.maxOfOrNull { it.version } ?: 0
-            batch.samples.isNotEmpty() && batch.oldestVersion < newest - (bounds[batch.trainer] ?: Int.MAX_VALUE.toLong())
+            val bound = bounds[batch.trainer] ?: Int.MAX_VALUE.toLong()
+            batch.samples.isNotEmpty() && batch.oldestVersion < newest - bound
         }
 
-    fun idleShare(): Double {
-        val total = batches.groupBy { it.trainer }.values.sumOf { own -> own.maxOf { it.atMillis } - own.minOf { it.orderedAtMillis } }
-        return if (total == 0L) 0.0 else batches.sumOf { it.waitedMillis }.toDouble() / total
-    }
-
-    fun medianAge(): Long {
-        val ages = batches.flatMap { it.ageVersions }.sorted()
-        return if (ages.isEmpty()) 0 else ages[ages.size / 2]
-    }
-
-    fun p99Millis(): Long {
-        val took = calls.filter { it.outcome == CallOutcome.WHOLE && it.kind == CallKind.MODEL }.map { it.tookMillis }.sorted()
-        return if (took.isEmpty()) 0 else took[((took.size - 1) * P99).toInt()]
-    }
-
     private fun <T> read(
         prefix: String,
         format: KSerializer<T>,
@@ -83,10 +70,12 @@
             .orEmpty()
             .sortedBy { it.name }
             .flatMap { Records.read(it, format) }
+}
 
-    private fun boundsOf(folder: File): Map<String, Long> {
-        val file = File(folder, "bounds.txt")
-        if (!file.isFile) return emptyMap()
-        return file.readLines().filter { ' ' in it }.associate { it.substringBefore(' ') to it.substringAfter(' ').toLong() }
+private fun boundsOf(folder: File): Map<String, Long> {
+    val file = File(folder, "bounds.txt")
+    if (!file.isFile) return emptyMap()
+    return file.readLines().filter { ' ' in it }.associate { line ->
+        line.substringBefore(' ') to line.substringAfter(' ').toLong()
     }
 }
--- a/standins/src/main/kotlin/bergamotwall/standins/ServerCommands.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/ServerCommands.kt
@@ -7,6 +7,10 @@
 import java.util.concurrent.CountDownLatch
 
 private const val HALT_CODE = 137
+private const val DEFAULT_SLOTS = 8
+private const val DEFAULT_TOKEN_MILLIS = 4.0
+private const val DEFAULT_LAG_MILLIS = 500L
+private const val DEFAULT_LOAD_MILLIS = 100L
 
 /** Waits for SIGTERM, then closes [server]. */
 private fun serve(server: AutoCloseable): Int {
@@ -37,10 +41,10 @@
     var weights: String? = null
 
     @Option(names = ["--slots"])
-    var slots = 8
+    var slots = DEFAULT_SLOTS
 
     @Option(names = ["--token-millis"])
-    var tokenMillis = 4.0
+    var tokenMillis = DEFAULT_TOKEN_MILLIS
 
     @Option(names = ["--swap-fail-percent"])
     var swapFailPercent = 0
@@ -103,7 +107,7 @@
     lateinit var address: String
 
     @Option(names = ["--lag-millis"])
-    var lagMillis = 500L
+    var lagMillis = DEFAULT_LAG_MILLIS
 
     override fun call(): Int = serve(VmListStandIn(address, lagMillis))
 }
@@ -118,7 +122,7 @@
     var maxLoads = 2
 
     @Option(names = ["--load-millis"])
-    var loadMillis = 100L
+    var loadMillis = DEFAULT_LOAD_MILLIS
 
     override fun call(): Int = serve(WeightStoreStandIn(address, maxLoads, loadMillis))
 }
--- a/standins/src/main/kotlin/bergamotwall/standins/Main.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/StandInsCommand.kt
@@ -29,6 +29,7 @@
 internal class StandInsCommand
 
 /** Entry point of `bergamotwall-standins`. */
+@Suppress("SpreadOperator") // picocli takes its arguments so
 public fun main(args: Array<String>) {
     configureLogs("standins", "warn")
     exitProcess(CommandLine(StandInsCommand()).execute(*args))
--- a/standins/src/main/kotlin/bergamotwall/standins/ToolCommands.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/ToolCommands.kt
@@ -10,6 +10,8 @@
 import java.net.ServerSocket
 import java.util.concurrent.Callable
 
+private const val DEFAULT_WAIT_SECONDS = 30L
+
 /** Prints free ports of the loopback interface. */
 @Command(name = "ports")
 internal class PortsCommand : Callable<Int> {
@@ -31,7 +33,7 @@
     lateinit var urls: List<String>
 
     @Option(names = ["--seconds"])
-    var seconds = 30L
+    var seconds = DEFAULT_WAIT_SECONDS
 
     override fun call(): Int {
         val end = System.nanoTime() + seconds * NANOS_PER_SECOND
--- a/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
@@ -29,10 +29,13 @@
     val medianStalenessVersions: Long,
     val applicationP99Millis: Long,
 ) {
+    private val broken: Int
+        get() = doubled + lost + mislabelled + wrongAnswers + tooStale + cutOff + ranTwice + falseNotRun + reverted
+
     /** Whether every promise that callers can check held, and there was work to check. */
     val held: Boolean
         get() =
-            listOf(doubled, lost, mislabelled, wrongAnswers, tooStale, cutOff, ranTwice, falseNotRun, reverted).all { it == 0 } &&
+            broken == 0 &&
                 samplesDelivered > 0 &&
                 applicationRequests > 0 &&
                 serviceRuns > 0
@@ -44,6 +47,7 @@
     cancelled: Int,
 ): Verdict {
     val records = RunRecords(folder)
+    val figures = RunFigures(records)
     val cuts = records.calls.filter { it.outcome == CallOutcome.CUT }
     val (byFault, unexplained) = cuts.partition { records.explainedByFault(it) }
     return Verdict(
@@ -66,8 +70,8 @@
         cancelledStragglers = cancelled,
         versionsPublished = records.published.size,
         faultsInjected = records.faults.count { it.kind != "planned" },
-        idleShare = records.idleShare(),
-        medianStalenessVersions = records.medianAge(),
-        applicationP99Millis = records.p99Millis(),
+        idleShare = figures.idleShare(),
+        medianStalenessVersions = figures.medianAge(),
+        applicationP99Millis = figures.p99Millis(),
     )
 }
--- a/standins/src/main/kotlin/bergamotwall/standins/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/WeightStoreStandIn.kt
@@ -7,7 +7,11 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Stand-in for the weight store: serves [maxLoads] loads at once, each taking [loadMillis], and refuses the rest. */
-public class WeightStoreStandIn(address: String, private val maxLoads: Int, private val loadMillis: Long) : AutoCloseable {
+public class WeightStoreStandIn(
+    address: String,
+    private val maxLoads: Int,
+    private val loadMillis: Long
+) : AutoCloseable {
     private val loading = AtomicInteger()
     private val server: Server =
         serverAt(address) { builder -> builder.service("/v1/models/{model}/versions/{version}") { _, _ -> load() } }
