Model-check the core protocol

Two checks were first wrong: an empty set was taken as a stopped target, and a plan could be based on a revision yet to come; traces showed both, and the models say now what the code does. The demo's verdict counts engines that one crashing request took down, and no longer counts a resume as a fault.

--- a/cli/src/main/kotlin/bergamotwall/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/bergamotwall/cli/StatusCommand.kt
@@ -10,7 +10,7 @@
 import picocli.CommandLine.Spec
 import java.util.concurrent.Callable
 
-private const val WIDTH = 18
+private const val GAP = 2
 private const val PERCENT = 100
 
 /** Shows the fleet at a glance. */
@@ -114,9 +114,12 @@
     head: List<String>,
     rows: List<List<Any>>,
 ): String {
-    val columns = head.map { Column(WIDTH, 0, Column.Overflow.SPAN) }.toTypedArray()
+    val lines = listOf(head) + rows.map { row -> row.map { it.toString() } }
+    val columns =
+        head.indices
+            .map { i -> Column(lines.maxOf { it[i].length } + GAP, 0, Column.Overflow.SPAN) }
+            .toTypedArray()
     val table = Help.TextTable.forColumns(Help.defaultColorScheme(Help.Ansi.OFF), *columns)
-    table.addRowValues(*head.toTypedArray())
-    rows.forEach { row -> table.addRowValues(*row.map { it.toString() }.toTypedArray()) }
+    lines.forEach { table.addRowValues(*it.toTypedArray()) }
     return table.toString()
 }
--- /dev/null
+++ b/spec/src/test/resources/spec/configuration.als
@@ -0,0 +1,97 @@
+// Configuration: operators that race and lose answers, relays, peers, restarts.
+module configuration
+
+open util/ordering[Revision]
+
+sig Revision {}
+
+sig Plan { base: one Revision }
+
+one sig Store {
+  var stored: one Revision,
+  var applied: Revision -> lone Plan
+}
+
+// Plans whose operator was told that they are accepted, or that another change came first.
+var sig Accepted in Plan {}
+var sig Refused in Plan {}
+
+sig Node { var held: one Revision }
+
+// Nodes that have served since they started; a restarted node does not until it has read or pulled.
+var sig Serving in Node {}
+
+pred unchangedStore { stored' = stored and applied' = applied and Accepted' = Accepted and Refused' = Refused }
+pred unchangedNodes { held' = held and Serving' = Serving }
+
+// The compare-and-swap takes effect; its answer may be lost.
+pred write[p: Plan] {
+  p.base = Store.stored // guard: compare
+  some Store.stored.next
+  stored' = Store -> Store.stored.next
+  applied' = applied + Store -> Store.stored.next -> p
+  Accepted' = Accepted and Refused' = Refused
+  unchangedNodes
+}
+
+// The operator learns of it, by the answer or by reading back.
+pred accept[p: Plan] {
+  p in Revision.(Store.applied)
+  Accepted' = Accepted + p and Refused' = Refused
+  stored' = stored and applied' = applied
+  unchangedNodes
+}
+
+// The operator is told of a conflict: another change came first.
+pred refuse[p: Plan] {
+  lt[p.base, Store.stored]
+  p not in Revision.(Store.applied) // guard: applied
+  Refused' = Refused + p and Accepted' = Accepted
+  stored' = stored and applied' = applied
+  unchangedNodes
+}
+
+pred read[n: Node] {
+  gte[Store.stored, n.held]
+  held' = held ++ n -> Store.stored
+  Serving' = Serving + n
+  unchangedStore
+}
+
+pred pull[n, from: Node] {
+  from in Serving
+  gte[from.held, n.held] // guard: higher
+  held' = held ++ n -> from.held
+  Serving' = Serving + n
+  unchangedStore
+}
+
+pred restart[n: Node] {
+  held' = held ++ n -> first
+  Serving' = Serving - n
+  unchangedStore
+}
+
+pred stutter { unchangedStore and unchangedNodes }
+
+fact Behaviour {
+  Store.stored = first and no applied and no Accepted and no Refused and Node.held = first and Serving = Node
+  always (
+    (some p: Plan | write[p] or accept[p] or refuse[p]) or
+    (some n: Node | read[n] or restart[n]) or
+    (some disj n, m: Node | pull[n, m]) or
+    stutter
+  )
+}
+
+// A plan that was made before another change was accepted never takes effect over it.
+assert NoLostUpdate { always all p: Plan | (after (p in Revision.(Store.applied)) and p not in Revision.(Store.applied)) implies p.base = Store.stored }
+assert AppliedOnce { always all p: Plan | lone Store.applied.p }
+assert ConflictIsTrue { always all p: Refused | p not in Revision.(Store.applied) }
+assert NeverReverts { always all n: Node, r: Revision | (n in Serving and n.held = r) implies after (n in Serving implies gte[n.held, r]) }
+
+run Works { eventually (some Accepted and Node.held = last) } for 3 but 8 steps
+check NoLostUpdate for 3 but 6 steps
+check AppliedOnce for 4 but 6 steps
+check ConflictIsTrue for 3 but 6 steps
+check NeverReverts for 3 but 6 steps
--- a/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
@@ -3,6 +3,9 @@
 import kotlinx.serialization.Serializable
 import java.io.File
 
+private const val MAX_CRASHED = 2
+private val NOT_INJECTED = setOf("planned", "resume", "crashed")
+
 /** What the stand-ins' own records say of a run. The promises held if every broken count is zero. */
 @Serializable
 internal data class Verdict(
@@ -25,6 +28,7 @@
     val cancelledStragglers: Int,
     val versionsPublished: Int,
     val faultsInjected: Int,
+    val crashedByPoison: Int,
     val idleShare: Double,
     val medianStalenessVersions: Long,
     val applicationP99Millis: Long,
@@ -36,6 +40,7 @@
     val held: Boolean
         get() =
             broken == 0 &&
+                crashedByPoison <= MAX_CRASHED &&
                 samplesDelivered > 0 &&
                 applicationRequests > 0 &&
                 serviceRuns > 0
@@ -69,7 +74,8 @@
         cutByFaults = byFault.size,
         cancelledStragglers = cancelled,
         versionsPublished = records.published.size,
-        faultsInjected = records.faults.count { it.kind != "planned" },
+        faultsInjected = records.faults.count { it.kind !in NOT_INJECTED },
+        crashedByPoison = records.faults.count { it.kind == "crashed" },
         idleShare = figures.idleShare(),
         medianStalenessVersions = figures.medianAge(),
         applicationP99Millis = figures.p99Millis(),
