--- a/decisions/src/main/kotlin/bergamotwall/decisions/ReplicaChoice.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/ReplicaChoice.kt
@@ -19,7 +19,7 @@
         val holders = prefixes.holders(prefix)
         val affine = holders.mapNotNull { targets[it] }.filter(allowed).minByOrNull { it.pressure }
         val first = sample(targets, allowed)
-        val second = if (first == null) null else sample(targets, allowed)
+        val second = if (first == null) null else sample(targets) { it !== first && allowed(it) }
         return listOfNotNull(affine, first, second).minByOrNull { cost(it, it === affine, dataCentre, targets) }
     }
 
--- /dev/null
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/DispatchFixture.kt
@@ -0,0 +1,120 @@
+package bergamotwall.decisions
+
+import bergamotwall.model.DataCentre
+import bergamotwall.model.Fingerprint
+import bergamotwall.model.Finished
+import bergamotwall.model.NodeId
+import bergamotwall.model.Offer
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.RequestId
+import bergamotwall.model.RunOutcome
+import bergamotwall.model.TargetId
+import bergamotwall.model.TargetReport
+import bergamotwall.model.WeightVersion
+import kotlin.random.Random
+
+/** A dispatcher with [targets] targets of [slots] slots, a clock that the test moves, and what was decided. */
+internal class DispatchFixture(
+    targets: Int,
+    slots: Int = 4,
+    limits: DispatchLimits = DispatchLimits(),
+    weights: Map<String, Int> = emptyMap(),
+    seed: Long = 1,
+) {
+    private val dispatcher = Dispatcher(limits, { weights[it] ?: 1 }, Random(seed))
+    private val ids = List(targets) { "t$it" }
+    private val slotsEach = slots
+    var nowMillis = 1_000L
+    val grants = LinkedHashMap<String, TargetId>()
+    val refusals = LinkedHashMap<String, ProblemKind>()
+
+    init {
+        list()
+        ids.forEach { report(it) }
+    }
+
+    fun list(stopping: Set<String> = emptySet()): Unit =
+        tell(DispatchEvent.Listed(ids.map { DispatchTarget(TargetId(it), "h:1", DataCentre("dc"), it in stopping) }))
+
+    fun report(
+        target: String,
+        version: Long = 1,
+        swapping: Boolean = false,
+        bootId: String = "boot-$target",
+        running: Int = 0,
+    ) {
+        val report =
+            TargetReport(
+                version = WeightVersion(version),
+                swappingTo = WeightVersion(version + 1).takeIf { swapping },
+                running = running,
+                slots = slotsEach,
+                bootId = bootId,
+            )
+        tell(DispatchEvent.Reported(TargetId(target), report))
+    }
+
+    fun offer(
+        id: String,
+        priorityClass: PriorityClass = PriorityClass.TRAINING,
+        flow: String = "f",
+        sequence: Long = 0,
+        content: Long = id.hashCode().toLong(),
+        minVersion: Long = 0,
+        deadlineMillis: Long = 60_000,
+        excluded: Set<String> = emptySet(),
+    ): Unit =
+        tell(
+            DispatchEvent.Offered(
+                Offer(
+                    request = RequestId(id),
+                    requester = NodeId("n"),
+                    serves = "m",
+                    priorityClass = priorityClass,
+                    flow = flow,
+                    sequence = sequence,
+                    prefix = content,
+                    fingerprint = Fingerprint(content),
+                    minVersion = WeightVersion(minVersion),
+                    expectedTokens = 100,
+                    deadlineInMillis = deadlineMillis,
+                    excluded = excluded.map { TargetId(it) }.toSet(),
+                    dataCentre = DataCentre("dc"),
+                ),
+            ),
+        )
+
+    fun finish(
+        id: String,
+        outcome: RunOutcome = RunOutcome.WHOLE,
+        firstTokenMillis: Long = 20,
+        durationMillis: Long = 200,
+    ): Unit =
+        tell(
+            DispatchEvent.Returned(
+                Finished(
+                    request = RequestId(id),
+                    serves = "m",
+                    target = grants.getValue(id),
+                    fingerprint = Fingerprint(0),
+                    outcome = outcome,
+                    firstTokenMillis = firstTokenMillis,
+                    durationMillis = durationMillis,
+                    tokens = 10,
+                    versions = emptyList(),
+                ),
+            ),
+        )
+
+    fun load(): DispatchLoad = dispatcher.load(nowMillis)
+
+    fun tell(event: DispatchEvent) {
+        dispatcher.handle(event, nowMillis).forEach { decision ->
+            when (decision) {
+                is DispatchDecision.Grant -> grants[decision.request.value] = decision.target
+                is DispatchDecision.Refuse -> refusals[decision.request.value] = decision.problem.kind
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/DispatcherTest.kt
@@ -0,0 +1,283 @@
+package bergamotwall.decisions
+
+import bergamotwall.model.NodeId
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.RequestId
+import bergamotwall.model.RunOutcome
+import bergamotwall.model.TargetId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.doesNotContain
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+internal class DispatcherTest {
+    private fun case(
+        name: String,
+        block: () -> Unit,
+    ): DynamicTest = dynamicTest(name, block)
+
+    @TestFactory
+    fun `isolation of application work`(): List<DynamicTest> =
+        listOf(
+            case("an application request never waits while training saturates the targets") {
+                val fixture = DispatchFixture(targets = 2)
+                repeat(50) { fixture.offer("s$it") }
+                fixture.offer("app", PriorityClass.APPLICATION)
+                expectThat(fixture.grants.keys).contains("app")
+            },
+            case("application goes first when both wait") {
+                val fixture = DispatchFixture(targets = 1, slots = 1)
+                fixture.offer("running", PriorityClass.APPLICATION)
+                fixture.offer("sample")
+                fixture.offer("app", PriorityClass.APPLICATION)
+                fixture.finish("running")
+                expectThat(fixture.grants.keys.last()).isEqualTo("app")
+            },
+            case("headroom grows with application demand") {
+                val fixture = DispatchFixture(targets = 4)
+                val before = fixture.load().reserved
+                repeat(200) { i ->
+                    fixture.offer("a$i", PriorityClass.APPLICATION)
+                    if (i >= 6) fixture.finish("a${i - 6}")
+                }
+                expectThat(fixture.load().reserved).isGreaterThan(before)
+            },
+            case("background gives way to training") {
+                val fixture = DispatchFixture(targets = 1, slots = 2)
+                fixture.offer("first")
+                fixture.offer("background", PriorityClass.BACKGROUND)
+                fixture.offer("second")
+                fixture.finish("first")
+                expectThat(fixture.grants.keys.toList()).containsExactly("first", "second")
+            },
+        )
+
+    @TestFactory
+    fun `fair shares and order`(): List<DynamicTest> =
+        listOf(
+            case("trainers share by weight") {
+                val fixture = DispatchFixture(targets = 1, slots = 2, weights = mapOf("heavy" to 3, "light" to 1))
+                repeat(40) {
+                    fixture.offer("heavy$it", flow = "heavy")
+                    fixture.offer("light$it", flow = "light")
+                }
+                repeat(19) { fixture.finish(fixture.grants.keys.elementAt(it)) }
+                val heavy = fixture.grants.keys.count { it.startsWith("heavy") }
+                expectThat(heavy).isGreaterThanOrEqualTo(13).isLessThanOrEqualTo(17)
+            },
+            case("the earlier step of a trainer goes first") {
+                val fixture = DispatchFixture(targets = 1, slots = 2)
+                fixture.offer("running")
+                fixture.offer("next step", sequence = 2)
+                fixture.offer("this step", sequence = 1)
+                fixture.finish("running")
+                expectThat(fixture.grants.keys.last()).isEqualTo("this step")
+            },
+        )
+
+    @TestFactory
+    fun `leaving targets`(): List<DynamicTest> =
+        listOf(
+            case("a stopping target gets no new work and keeps what runs") {
+                val fixture = DispatchFixture(targets = 2)
+                fixture.offer("before")
+                fixture.list(stopping = setOf("t0", "t1"))
+                fixture.offer("after")
+                expectThat(fixture.grants.keys).containsExactly("before")
+                fixture.list(stopping = setOf("t0"))
+                expectThat(fixture.grants["after"]).isEqualTo(TargetId("t1"))
+            },
+            case("a target that refuses connections gets none until it reports again") {
+                val fixture = DispatchFixture(targets = 1)
+                fixture.offer("a")
+                fixture.finish("a", RunOutcome.NOT_STARTED)
+                fixture.offer("b")
+                expectThat(fixture.grants.keys).doesNotContain("b")
+                fixture.report("t0")
+                expectThat(fixture.grants.keys).contains("b")
+            },
+            case("a swapping target gets none") {
+                val fixture = DispatchFixture(targets = 1)
+                fixture.report("t0", swapping = true)
+                fixture.offer("a")
+                expectThat(fixture.grants.keys).isEmpty()
+            },
+            case("a version below the minimum gets none") {
+                val fixture = DispatchFixture(targets = 2)
+                fixture.report("t1", version = 5)
+                fixture.offer("a", minVersion = 4)
+                expectThat(fixture.grants["a"]).isEqualTo(TargetId("t1"))
+            },
+            case("the target that just failed is avoided while another is usable") {
+                val fixture = DispatchFixture(targets = 2)
+                fixture.offer("a", excluded = setOf("t0"))
+                expectThat(fixture.grants["a"]).isEqualTo(TargetId("t1"))
+            },
+        )
+
+    @TestFactory
+    fun `refusals are true and at once`(): List<DynamicTest> =
+        listOf(
+            case("nothing serves it") {
+                val fixture = DispatchFixture(targets = 0)
+                fixture.offer("a")
+                expectThat(fixture.refusals["a"]).isEqualTo(ProblemKind.UNAVAILABLE)
+            },
+            case("the queue is longer than the deadline") {
+                val fixture = DispatchFixture(targets = 1, slots = 1)
+                fixture.offer("first", PriorityClass.APPLICATION)
+                fixture.finish("first", durationMillis = 10_000)
+                repeat(5) { fixture.offer("q$it", PriorityClass.APPLICATION) }
+                fixture.offer("late", PriorityClass.APPLICATION, deadlineMillis = 1_000)
+                expectThat(fixture.refusals["late"]).isEqualTo(ProblemKind.OVERLOADED)
+            },
+            case("the deadline passes in the queue") {
+                val fixture = DispatchFixture(targets = 1, slots = 1)
+                fixture.offer("running", PriorityClass.APPLICATION)
+                fixture.offer("waiting", deadlineMillis = 500)
+                fixture.nowMillis += 501
+                fixture.tell(DispatchEvent.Tick)
+                expectThat(fixture.refusals["waiting"]).isEqualTo(ProblemKind.DEADLINE)
+                expectThat(fixture.grants.keys).doesNotContain("waiting")
+            },
+            case("overload sheds the lowest class first") {
+                val fixture = DispatchFixture(targets = 1, slots = 1, limits = DispatchLimits(maxQueued = 2))
+                fixture.offer("running", PriorityClass.APPLICATION)
+                fixture.offer("b", PriorityClass.BACKGROUND)
+                fixture.offer("t", PriorityClass.TRAINING)
+                fixture.offer("a", PriorityClass.APPLICATION)
+                fixture.offer("late", PriorityClass.BACKGROUND)
+                expectThat(fixture.refusals.keys.toList()).containsExactly("b", "late")
+            },
+        )
+
+    @TestFactory
+    fun `lost answers and lost requesters`(): List<DynamicTest> =
+        listOf(
+            case("asking twice takes one permit") {
+                val fixture = DispatchFixture(targets = 2)
+                fixture.offer("a")
+                val first = fixture.grants["a"]
+                fixture.offer("a")
+                expectThat(fixture.grants["a"]).isEqualTo(first)
+                expectThat(fixture.load().running).isEqualTo(1)
+            },
+            case("a dead requester's permits return") {
+                val fixture = DispatchFixture(targets = 1, slots = 2)
+                repeat(4) { fixture.offer("a$it", PriorityClass.APPLICATION) }
+                fixture.tell(DispatchEvent.RequesterLost(NodeId("n")))
+                expectThat(fixture.load().running).isEqualTo(0)
+                expectThat(fixture.load().queued).isEqualTo(0)
+            },
+            case("a withdrawn permit frees its slot for the next") {
+                val fixture = DispatchFixture(targets = 1, slots = 1)
+                fixture.offer("a", PriorityClass.APPLICATION)
+                fixture.offer("b", PriorityClass.APPLICATION)
+                fixture.tell(DispatchEvent.Withdrawn(RequestId("a")))
+                expectThat(fixture.grants.keys).contains("b")
+            },
+            case("a permit that never returns expires") {
+                val fixture = DispatchFixture(targets = 1, slots = 1)
+                fixture.offer("a", PriorityClass.APPLICATION, deadlineMillis = 100)
+                fixture.nowMillis += 20_000
+                fixture.tell(DispatchEvent.Tick)
+                expectThat(fixture.load().running).isEqualTo(0)
+            },
+            case("work of an earlier owner, as reported, takes room") {
+                val fixture = DispatchFixture(targets = 1, slots = 4)
+                fixture.report("t0", running = 4)
+                fixture.offer("a", PriorityClass.APPLICATION)
+                expectThat(fixture.grants.keys).isEmpty()
+            },
+        )
+
+    @TestFactory
+    fun `crashing requests`(): List<DynamicTest> =
+        listOf(
+            case("content that crashes targets takes down two and is refused under any key") {
+                val fixture = DispatchFixture(targets = 6)
+                val crashed = HashSet<TargetId>()
+                repeat(10) { i ->
+                    fixture.offer("poison$i", content = 99)
+                    fixture.grants["poison$i"]?.let { target ->
+                        crashed += target
+                        fixture.finish("poison$i", RunOutcome.BROKEN)
+                        fixture.report(target.value, bootId = "restart$i")
+                    }
+                }
+                expectThat(crashed).hasSize(CrashSuspicion.MAX_TARGETS)
+                expectThat(fixture.refusals.values.toSet()).containsExactly(ProblemKind.QUARANTINED)
+            },
+            case("a group of equal, unproven prompts runs on two targets at most") {
+                val fixture = DispatchFixture(targets = 6)
+                repeat(12) { fixture.offer("g$it", content = 7) }
+                expectThat(fixture.grants.values.toSet()).hasSize(2)
+                fixture.finish(fixture.grants.keys.first())
+                repeat(12) { fixture.offer("h$it", content = 7) }
+                expectThat(fixture.grants.values.toSet().size).isGreaterThan(2)
+            },
+            case("bystanders of a crash are served") {
+                val fixture = DispatchFixture(targets = 3, slots = 8)
+                fixture.offer("poison", content = 99)
+                val target = fixture.grants.getValue("poison")
+                fixture.list(stopping = setOf("t0", "t1", "t2") - target.value)
+                repeat(4) { fixture.offer("bystander$it", content = 100L + it) }
+                fixture.list()
+                (listOf("poison") + List(4) { "bystander$it" }).forEach { fixture.finish(it, RunOutcome.BROKEN) }
+                fixture.report(target.value, bootId = "again")
+                fixture.offer("poison again", content = 99)
+                repeat(4) { fixture.offer("again$it", content = 100L + it) }
+                fixture.grants["poison again"]?.let { fixture.finish("poison again", RunOutcome.BROKEN) }
+                repeat(4) { i -> fixture.grants["again$i"]?.let { fixture.finish("again$i") } }
+                repeat(4) { i -> fixture.offer("third$i", content = 100L + i) }
+                expectThat(fixture.refusals.values.toList()).isEmpty()
+            },
+            case("a broken connection to a target that lives blames no one") {
+                val fixture = DispatchFixture(targets = 2)
+                repeat(5) { i ->
+                    fixture.offer("a$i", content = 5)
+                    val target = fixture.grants.getValue("a$i")
+                    fixture.finish("a$i", RunOutcome.BROKEN)
+                    fixture.report(target.value)
+                }
+                expectThat(fixture.refusals.values.toList()).isEmpty()
+            },
+        )
+
+    @TestFactory
+    fun `choice of the replica`(): List<DynamicTest> =
+        listOf(
+            case("equal prefixes meet where the prefix is held") {
+                val fixture = DispatchFixture(targets = 4, slots = 16)
+                fixture.offer("first", content = 3)
+                fixture.finish("first")
+                repeat(4) { fixture.offer("p$it", content = 3) }
+                expectThat(fixture.grants.values.toSet()).hasSize(1)
+            },
+            case("a slow replica loses work before it fails") {
+                val fixture = DispatchFixture(targets = 2, slots = 8)
+                repeat(200) { i ->
+                    fixture.offer("r$i")
+                    val slow = fixture.grants["r$i"] == TargetId("t0")
+                    fixture.finish("r$i", firstTokenMillis = if (slow) 400 else 20)
+                }
+                val late = fixture.grants.filterKeys { it.removePrefix("r").toInt() >= 100 }
+                expectThat(late.values.count { it == TargetId("t0") }).isLessThanOrEqualTo(25)
+            },
+            case("no target gets more than its window") {
+                val fixture = DispatchFixture(targets = 3, slots = 4)
+                repeat(40) { fixture.offer("a$it", PriorityClass.APPLICATION) }
+                expectThat(fixture.grants.values.groupingBy { it }.eachCount().values.max()).isLessThanOrEqualTo(4)
+            },
+        )
+}
