Test the processes' mechanisms over fakes at the interfaces

Change: a node takes its clock, key-value service and peers from outside; an in-memory service with faults call by call, in-memory peers and a clock of the test stand in their place. Tables name the promise each case is for.

--- /dev/null
+++ b/controller/src/test/kotlin/bergamotwall/controller/RolloutTest.kt
@@ -0,0 +1,117 @@
+package bergamotwall.controller
+
+import bergamotwall.model.Configuration
+import bergamotwall.model.DataCentre
+import bergamotwall.model.ModelIntent
+import bergamotwall.model.ModelName
+import bergamotwall.model.NodeId
+import bergamotwall.model.NodeRole
+import bergamotwall.model.PublishedVersion
+import bergamotwall.model.Settings
+import bergamotwall.model.TargetReport
+import bergamotwall.model.Vm
+import bergamotwall.model.VmList
+import bergamotwall.model.VmRole
+import bergamotwall.model.WeightOrder
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.EngineDriver
+import bergamotwall.platform.EnginePiece
+import bergamotwall.platform.EngineRequest
+import bergamotwall.platform.TargetError
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.NodeDrivers
+import bergamotwall.standins.fakes.ManualClock
+import bergamotwall.standins.fakes.MemoryKeyValueStore
+import bergamotwall.standins.fakes.MemoryPeers
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+
+/** Engines in memory that swap at once, but for those that fail. */
+private class FakeEngines(private val failing: Set<String>) : EngineDriver {
+    val orders = ArrayList<WeightOrder>()
+    val versions = HashMap<String, WeightVersion>()
+
+    override suspend fun report(address: String): Result<TargetReport, TargetError> =
+        Ok(TargetReport(version = versions[address] ?: WeightVersion(1)))
+
+    override suspend fun order(
+        address: String,
+        order: WeightOrder,
+    ): Result<Unit, TargetError> {
+        orders += order
+        if (address !in failing) versions[address] = order.version
+        return Ok(Unit)
+    }
+
+    override suspend fun complete(
+        address: String,
+        request: EngineRequest,
+        onPiece: suspend (EnginePiece) -> Unit,
+    ): Result<Unit, TargetError> = Err(TargetError.NotStarted("not used"))
+}
+
+internal class RolloutTest {
+    private val clock = ManualClock()
+    private val model = ModelName("m")
+    private val settings = Settings(NodeId("a"), DataCentre("d"), "h:1", "h:2", "h:3", "h:4")
+    private val node =
+        Node(settings, NodeRole.CONTROLLER, NodeDrivers(clock, MemoryKeyValueStore(clock), MemoryPeers()))
+    private val duty = Duty("rollout/m", NodeId("a"), node.store, clock, node.journal, ttlSeconds = 4)
+
+    private fun rollout(engines: EngineDriver): Rollout {
+        node.keeper.offer(VmList(1, List(4) { Vm("e$it", VmRole.ENGINE, "m", "e$it", DataCentre("d")) }), "test")
+        node.keeper.offer(listOf(PublishedVersion(model, WeightVersion(2))))
+        node.keeper.offer(Configuration(), "test")
+        return Rollout(duty, node, engines) { ModelIntent(model, availabilityFloorPercent = 50) }
+    }
+
+    private suspend fun steps(
+        rollout: Rollout,
+        count: Int,
+    ) = repeat(count) {
+        duty.step()
+        rollout.step()
+        clock.advance(600)
+    }
+
+    @Test
+    fun `all replicas come to the published version, in waves, under one fencing number`(): Unit =
+        runBlocking {
+            val engines = FakeEngines(emptySet())
+            steps(rollout(engines), 8)
+            expectThat(engines.versions.values.toList()).hasSize(4).all { isEqualTo(WeightVersion(2)) }
+            expectThat(engines.orders.map { it.fence }.toSet()).hasSize(1)
+        }
+
+    @Test
+    fun `a holder that was paused past its lease sends nothing`(): Unit =
+        runBlocking {
+            val engines = FakeEngines(emptySet())
+            val rollout = rollout(engines)
+            duty.step()
+            clock.advance(3_500)
+            rollout.step()
+            expectThat(engines.orders).isEmpty()
+        }
+
+    @Test
+    fun `a replica whose swaps fail is retried, then set aside and explained`(): Unit =
+        runBlocking {
+            val engines = FakeEngines(setOf("e0"))
+            steps(rollout(engines), 30)
+            expectThat(engines.orders.size).isGreaterThanOrEqualTo(3 + 4)
+            expectThat(engines.orders.size).isEqualTo(3 + 4)
+            expectThat(
+                node.journal.find("replica/e0").filter { it.decision == "set aside" }.size
+            ).isGreaterThanOrEqualTo(1)
+        }
+}
--- a/decisions/src/test/kotlin/bergamotwall/decisions/AgreementTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/AgreementTest.kt
@@ -49,7 +49,9 @@
         val first = planIntent(base, Intent("a"), PlanId("p1"), emptyList())
         val second = planDrain(base, Drain("x", ""), undo = false, PlanId("p2"), emptyList())
         val stored = (confirm(base, first) as Confirmation.Write).next
-        expectThat(confirm(stored, second)).isA<Confirmation.Conflict>().get { others }.map { it.plan.value }.isEqualTo(listOf("p1"))
+        expectThat(
+            confirm(stored, second)
+        ).isA<Confirmation.Conflict>().get { others }.map { it.plan.value }.isEqualTo(listOf("p1"))
         expectThat(confirm(stored, first)).isA<Confirmation.AlreadyApplied>()
         expectThat(stored.revision.value).isEqualTo(1)
     }
--- a/decisions/src/test/kotlin/bergamotwall/decisions/DispatchFixture.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/DispatchFixture.kt
@@ -55,6 +55,7 @@
         tell(DispatchEvent.Reported(TargetId(target), report))
     }
 
+    @Suppress("LongParameterList") // cases name the few that matter to them
     fun offer(
         id: String,
         priorityClass: PriorityClass = PriorityClass.TRAINING,
--- a/decisions/src/test/kotlin/bergamotwall/decisions/DispatcherProperties.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/DispatcherProperties.kt
@@ -22,56 +22,55 @@
         val random = Random(seed)
         val steps = List(length) { random.nextInt(10_000) }
         val fixture = DispatchFixture(targets = 3, slots = 3)
-        val open = LinkedHashSet<String>()
-        val offered = ArrayList<String>()
-        val withdrawn = HashSet<String>()
+        val run = Run(fixture)
         steps.forEachIndexed { i, step ->
             val seen = fixture.grants.size
             fixture.nowMillis += step % 50
-            play(fixture, step, i, open, offered, withdrawn)
-            open += fixture.grants.keys.drop(seen)
-            val busiest = open.groupingBy { fixture.grants.getValue(it) }.eachCount().values.maxOrNull() ?: 0
+            run.play(step, i)
+            run.open += fixture.grants.keys.drop(seen)
+            val busiest = run.open.groupingBy { fixture.grants.getValue(it) }.eachCount().values.maxOrNull() ?: 0
             expectThat(busiest).isLessThanOrEqualTo(3)
-            expectThat(fixture.load().running).isEqualTo(open.size)
+            expectThat(fixture.load().running).isEqualTo(run.open.size)
         }
         val both = fixture.grants.keys intersect fixture.refusals.keys
         expectThat(both).isEmpty()
-        val fates = fixture.grants.keys + fixture.refusals.keys + withdrawn
-        expectThat(offered.size - offered.count { it in fates }).isEqualTo(fixture.load().queued)
+        val fates = fixture.grants.keys + fixture.refusals.keys + run.withdrawn
+        expectThat(run.offered.size - run.offered.count { it in fates }).isEqualTo(fixture.load().queued)
     }
+}
+
+/** What the test knows of the requests that it played. */
+private class Run(private val fixture: DispatchFixture) {
+    val open = LinkedHashSet<String>()
+    val offered = ArrayList<String>()
+    val withdrawn = HashSet<String>()
 
-    private fun play(
-        fixture: DispatchFixture,
+    fun play(
         step: Int,
         i: Int,
-        open: MutableSet<String>,
-        offered: MutableList<String>,
-        withdrawn: MutableSet<String>,
     ) {
         when (step % 10) {
             in 0..4 -> {
                 offered += "r$i"
                 fixture.offer("r$i", PriorityClass.entries[step % 3], "flow${step % 4}", content = step.toLong())
             }
-            5, 6 -> open.firstOrNull()?.let { finish(fixture, it, RunOutcome.WHOLE, open) }
-            7 -> open.lastOrNull()?.let { finish(fixture, it, RunOutcome.NOT_STARTED, open) }
-            8 -> {
-                val id = offered.getOrNull(step % (offered.size + 1))
-                if (id != null && id !in fixture.refusals) {
-                    withdrawn += id
-                    open -= id
-                    fixture.tell(DispatchEvent.Withdrawn(RequestId(id)))
-                }
-            }
+            5, 6 -> open.firstOrNull()?.let { finish(it, RunOutcome.WHOLE) }
+            7 -> open.lastOrNull()?.let { finish(it, RunOutcome.NOT_STARTED) }
+            8 -> offered.getOrNull(step % (offered.size + 1))?.let { withdraw(it) }
             else -> fixture.report("t${step % 3}", version = step.toLong())
         }
     }
 
+    private fun withdraw(id: String) {
+        if (id in fixture.refusals) return
+        withdrawn += id
+        open -= id
+        fixture.tell(DispatchEvent.Withdrawn(RequestId(id)))
+    }
+
     private fun finish(
-        fixture: DispatchFixture,
         id: String,
         outcome: RunOutcome,
-        open: MutableSet<String>,
     ) {
         open -= id
         fixture.finish(id, outcome)
--- a/decisions/src/test/kotlin/bergamotwall/decisions/MembershipTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/MembershipTest.kt
@@ -48,7 +48,9 @@
     ) = repeat(periods) {
         nowMillis += 500
         nodes.indices.filter { it !in down }.forEach { from ->
-            nodes[from].tick(nowMillis).filterIsInstance<MembershipAction.Probe>().forEach { probe(from, it, lossPercent) }
+            nodes[from].tick(
+                nowMillis
+            ).filterIsInstance<MembershipAction.Probe>().forEach { probe(from, it, lossPercent) }
         }
     }
 
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RetryPolicyTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/RetryPolicyTest.kt
@@ -26,6 +26,7 @@
         "BROKEN, true, true, 1, 0, UNKNOWN",
         "WHOLE, false, true, 1, 10000, RAN",
     )
+    @Suppress("LongParameterList") // one parameter a column of the table
     fun `retries only what is safe, within budget and deadline`(
         outcome: RunOutcome,
         idempotent: Boolean,
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RolloutPolicyTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/RolloutPolicyTest.kt
@@ -24,6 +24,7 @@
             "a single replica is swapped all the same | 50 | 100 | 16 | 0 | a:1:0 | a",
         ],
     )
+    @Suppress("LongParameterList") // one parameter a column of the table
     fun `which replicas to swap now`(
         case: String,
         floorPercent: Int,
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RoutingTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/RoutingTest.kt
@@ -37,7 +37,8 @@
     fun `losing a node moves only what it owned`() {
         val nodes = List(9) { NodeId("n$it") }
         val keys = List(1_000) { "k$it" }
-        val moved = keys.count { ownerOf(it, nodes) != NodeId("n3") && ownerOf(it, nodes) != ownerOf(it, nodes - NodeId("n3")) }
+        val others = keys.filter { ownerOf(it, nodes) != NodeId("n3") }
+        val moved = others.count { ownerOf(it, nodes) != ownerOf(it, nodes - NodeId("n3")) }
         expectThat(moved).isEqualTo(0)
         expectThat(keys.count { ownerOf(it, nodes) == NodeId("n3") }).isLessThan(180)
     }
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -35,7 +35,7 @@
  */
 internal class GenerationRunner(
     private val node: Node,
-    private val permits: Permits,
+    private val permits: PermitSource,
     private val engines: EngineDriver,
     private val budgets: Budgets,
 ) {
--- a/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
@@ -20,9 +20,12 @@
 import kotlinx.coroutines.withContext
 
 /** Gets permits from the owner of the shard, wherever that is. */
-internal class Permits(private val node: Node, private val fleet: FleetView, private val hub: DispatchHub) {
-    /** Waits for a permit until the offer's deadline. A failure means that the request did not run. */
-    suspend fun acquire(
+internal class Permits(
+    private val node: Node,
+    private val fleet: FleetView,
+    private val hub: DispatchHub,
+) : PermitSource {
+    override suspend fun acquire(
         offer: Offer,
         trace: String?,
     ): Result<Granted, Problem> {
@@ -43,8 +46,7 @@
         return result
     }
 
-    /** Returns a permit. Goes on in the background, so that a cancelled request returns it too. */
-    fun finish(
+    override fun finish(
         finished: Finished,
         prefix: Long,
     ) {
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -25,7 +25,7 @@
 /** Runs calls of plain services: permit, target, and another target only where that is safe. */
 internal class ServiceRunner(
     private val node: Node,
-    private val permits: Permits,
+    private val permits: PermitSource,
     private val services: ServiceDriver,
     private val budgets: Budgets,
 ) {
--- /dev/null
+++ b/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
@@ -0,0 +1,181 @@
+package bergamotwall.entry
+
+import bergamotwall.decisions.TailEstimator
+import bergamotwall.model.Batch
+import bergamotwall.model.BatchOrder
+import bergamotwall.model.Done
+import bergamotwall.model.FetchSamples
+import bergamotwall.model.GroupSpec
+import bergamotwall.model.Member
+import bergamotwall.model.MemberState
+import bergamotwall.model.NodeId
+import bergamotwall.model.NodeRole
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.Problem
+import bergamotwall.model.ReleaseSamples
+import bergamotwall.model.Sample
+import bergamotwall.model.SamplesFound
+import bergamotwall.model.StoreSample
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.Write
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.SharedKeys
+import bergamotwall.standins.fakes.CallFault
+import bergamotwall.standins.fakes.ManualClock
+import bergamotwall.standins.fakes.MemoryKeyValueStore
+import bergamotwall.standins.fakes.MemoryPeers
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import java.util.concurrent.ConcurrentHashMap
+
+/** A sample store in memory. */
+private class FakeStore {
+    val held = ConcurrentHashMap<Long, List<Sample>>()
+
+    fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is StoreSample -> {
+                held.merge(message.batch, listOf(message.sample)) { old, new -> old + new }
+                Done
+            }
+            is FetchSamples -> SamplesFound(held[message.batch].orEmpty())
+            is ReleaseSamples -> Done.also { held.keys.removeIf { it <= message.batch } }
+            else -> Node.notServed(message)
+        }
+}
+
+/** Entries that assemble the batches of one trainer, a sample store and a key-value service, all in memory. */
+internal class BatchJobTest {
+    private class Fixture {
+        val store = MemoryKeyValueStore(ManualClock())
+        val samples = FakeStore()
+        private val peers = MemoryPeers().apply { connect("s:2") { message, _ -> samples.answer(message) } }
+        private val order = BatchOrder(List(2) { GroupSpec("prompt $it", n = 3, enough = 2, maxTokens = 5) })
+        var version = 1L
+
+        suspend fun publish(next: Long) {
+            version = next
+            val put = Write.Put(SharedKeys.published(trainer.model), "$next")
+            store.commit(Transaction(emptyList(), listOf(put)))
+        }
+
+        /** Runs a job as a fresh entry would: nothing is kept from earlier ones. */
+        suspend fun order(
+            number: Long,
+            groups: BatchOrder = order,
+            onGenerate: suspend () -> Unit = {},
+        ): Result<Batch, Problem> {
+            val node = entryNode("a", store, peers)
+            val member = Member(
+                NodeId("s"),
+                NodeRole.SAMPLES,
+                node.settings.dataCentre,
+                "s:2",
+                "h",
+                1,
+                MemberState.ALIVE
+            )
+            node.board.members.update { listOf(member) }
+            node.shared.readAll()
+            val engines = VersionedEngines({ version }, onGenerate)
+            val runner = GenerationRunner(node, FakePermits(listOf("e1", "e2")), engines, Budgets())
+            val stores = SampleStores(node, FleetView(node.board))
+            val parts = BatchParts(node, GroupRunner(node, runner), stores, Manifests(node.store), TailEstimator())
+            val stats = TrainerStatsRef(TrainerStats(trainer.name, 0))
+            return BatchJob(parts, trainer, number, groups, stats).run()
+        }
+    }
+
+    private fun case(
+        name: String,
+        block: suspend Fixture.() -> Unit,
+    ): DynamicTest = dynamicTest(name) { runBlocking { Fixture().apply { publish(1) }.block() } }
+
+    private fun ids(batch: Batch?): List<String> = batch?.samples?.map { it.id.value }.orEmpty()
+
+    @TestFactory
+    fun `exactly once - a batch number names one content`(): List<DynamicTest> =
+        listOf(
+            case("a batch has what was ordered") {
+                expectThat(ids(order(1).get())).hasSize(4)
+            },
+            case("the answer is lost, another entry gives the same batch") {
+                expectThat(ids(order(1).get())).isEqualTo(ids(order(1).get()))
+            },
+            case("two entries at once give the same batch") {
+                val both = runBlocking { List(2) { async { order(1) } }.awaitAll() }.map { ids(it.get()) }
+                expectThat(both[0]).isEqualTo(both[1]).hasSize(4)
+            },
+            case("the commit's answer is lost") {
+                store.failWrites(CallFault.LOST_ANSWER)
+                val first = ids(order(1).get())
+                expectThat(ids(order(1).get())).isEqualTo(first)
+            },
+            case("the entry died after it stored, before it committed") {
+                store.failWrites(CallFault.UNREACHABLE)
+                expectThat(ids(order(1).get())).hasSize(4)
+                expectThat(samples.held[1]).isNotNull().hasSize(samples.held.getValue(1).toSet().size)
+            },
+            case("the next number is another batch and releases the last") {
+                val first = ids(order(1).get())
+                val second = ids(order(2).get())
+                expectThat(second.toSet() intersect first.toSet()).hasSize(0)
+                expectThat(samples.held.keys.toSet()).isEqualTo(setOf(2L))
+            },
+            case("a number out of order, or with other groups, is refused") {
+                expectThat(order(3).getError()).isNotNull()
+                order(1)
+                expectThat(order(1, BatchOrder(listOf(GroupSpec("other", 1, 1, 5)))).getError()).isNotNull()
+            },
+            case("a lost sample store loses no sample that is not generated again") {
+                val first = ids(order(1).get())
+                samples.held.clear()
+                val again = order(1).get()
+                expectThat(again?.attempt).isEqualTo(2)
+                expectThat(ids(again)).hasSize(4).isNotEqualTo(first)
+                expectThat(ids(order(1).get())).isEqualTo(ids(again))
+            },
+        )
+
+    @TestFactory
+    fun `staleness - nothing older than the bound is handed over`(): List<DynamicTest> =
+        listOf(
+            case("a version published while the batch is made replaces what became too old") {
+                var published = false
+                val batch =
+                    order(1) {
+                        if (!published) {
+                            published = true
+                            publish(4)
+                        }
+                    }.get()
+                expectThat(batch).isNotNull().get { samples.minOf { it.versions.min().value } }.isEqualTo(4)
+            },
+            case("a batch that was not taken before newer versions came is made anew") {
+                order(1)
+                publish(5)
+                val again = order(1).get()
+                expectThat(again).isNotNull().and {
+                    get { attempt }.isEqualTo(2)
+                    get { samples.minOf { it.versions.min().value } }.isEqualTo(5)
+                }
+            },
+            case("within the bound it is handed out again") {
+                val first = ids(order(1).get())
+                publish(2)
+                expectThat(ids(order(1).get())).isEqualTo(first)
+            },
+        )
+}
--- /dev/null
+++ b/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
@@ -0,0 +1,149 @@
+package bergamotwall.entry
+
+import bergamotwall.model.CallerIntent
+import bergamotwall.model.CallerName
+import bergamotwall.model.Configuration
+import bergamotwall.model.ConfigurationRevision
+import bergamotwall.model.DataCentre
+import bergamotwall.model.Finished
+import bergamotwall.model.Granted
+import bergamotwall.model.Intent
+import bergamotwall.model.ModelIntent
+import bergamotwall.model.ModelName
+import bergamotwall.model.NodeId
+import bergamotwall.model.NodeRole
+import bergamotwall.model.Offer
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.Problem
+import bergamotwall.model.RequestId
+import bergamotwall.model.ServiceIntent
+import bergamotwall.model.ServiceName
+import bergamotwall.model.Settings
+import bergamotwall.model.TargetId
+import bergamotwall.model.TargetReport
+import bergamotwall.model.TrainerIntent
+import bergamotwall.model.TrainerName
+import bergamotwall.model.WeightOrder
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.EngineDriver
+import bergamotwall.platform.EnginePiece
+import bergamotwall.platform.EngineRequest
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.TargetError
+import bergamotwall.runtime.Clock
+import bergamotwall.runtime.Node
+import bergamotwall.runtime.NodeDrivers
+import bergamotwall.runtime.SystemClock
+import bergamotwall.standins.fakes.MemoryPeers
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The trainer of the tests. */
+internal val trainer = TrainerIntent(TrainerName("t"), "t-key", ModelName("m"), stalenessBoundVersions = 1)
+
+/** A configuration with one model, service, caller and trainer. */
+internal val configuration =
+    Configuration(
+        revision = ConfigurationRevision(1),
+        intents =
+        listOf(
+            Intent(
+                name = "i",
+                models = listOf(ModelIntent(ModelName("m"))),
+                services = listOf(ServiceIntent(ServiceName("s"), listOf("/read"))),
+                callers = listOf(CallerIntent(CallerName("c"), "c-key")),
+                trainers = listOf(trainer),
+            ),
+        ),
+    )
+
+/** A node of an entry over fakes; it starts nothing. */
+internal fun entryNode(
+    id: String,
+    store: KeyValueStore,
+    peers: MemoryPeers = MemoryPeers(),
+    clock: Clock = SystemClock,
+): Node {
+    val settings = Settings(NodeId(id), DataCentre("d"), "h:1", "$id:2", "h:3", "h:4")
+    return Node(
+        settings,
+        NodeRole.ENTRY,
+        NodeDrivers(clock, store, peers)
+    ).also { it.keeper.offer(configuration, "test") }
+}
+
+/** Gives every offer the next of [targets], and remembers what came back. */
+internal class FakePermits(private val targets: List<String>) : PermitSource {
+    val offers = CopyOnWriteArrayList<Offer>()
+    val finished = CopyOnWriteArrayList<Finished>()
+
+    override suspend fun acquire(
+        offer: Offer,
+        trace: String?,
+    ): Result<Granted, Problem> {
+        val target = targets[offers.size % targets.size]
+        offers += offer
+        return Ok(Granted(TargetId(target), target))
+    }
+
+    override fun finish(
+        finished: Finished,
+        prefix: Long,
+    ) {
+        this.finished += finished
+    }
+}
+
+/** What an engine does with one run: pieces `text:version`, then `end`, `break`, `refuse` or `reject`. */
+internal class ScriptedEngines(private vararg val runs: String) : EngineDriver {
+    val requests = CopyOnWriteArrayList<EngineRequest>()
+    private val next = AtomicInteger()
+
+    override suspend fun report(address: String): Result<TargetReport, TargetError> = Ok(TargetReport())
+
+    override suspend fun order(
+        address: String,
+        order: WeightOrder,
+    ): Result<Unit, TargetError> = Ok(Unit)
+
+    override suspend fun complete(
+        address: String,
+        request: EngineRequest,
+        onPiece: suspend (EnginePiece) -> Unit,
+    ): Result<Unit, TargetError> {
+        requests += request
+        val words = runs[next.getAndIncrement() % runs.size].split(' ')
+        words.dropLast(1).forEach { word ->
+            val (text, version) = word.split(':')
+            onPiece(EnginePiece(text, 1, WeightVersion(version.toLong()), null))
+        }
+        return when (words.last()) {
+            "end" -> Ok(Unit)
+            "refuse" -> Err(TargetError.NotStarted("refused"))
+            "reject" -> Err(TargetError.Rejected(400, "rejected"))
+            else -> Err(TargetError.Broken("broke off"))
+        }
+    }
+}
+
+/** An order for one generation that ends in a minute. */
+internal fun generationOrder(
+    node: Node,
+    maxTokens: Int = 10,
+): GenerationOrder =
+    GenerationOrder(
+        request = RequestId("r"),
+        flow = "c",
+        caller = CallerName("c"),
+        priorityClass = PriorityClass.APPLICATION,
+        sequence = 0,
+        model = "m",
+        prompt = "p",
+        maxTokens = maxTokens,
+        minVersion = { WeightVersion(0) },
+        deadlineMillis = node.clock.monotonicMillis() + 60_000,
+        trace = null,
+    )
--- /dev/null
+++ b/entry/src/test/kotlin/bergamotwall/entry/ReceiptsTest.kt
@@ -0,0 +1,136 @@
+package bergamotwall.entry
+
+import bergamotwall.decisions.ReceiptDecision
+import bergamotwall.model.Fingerprint
+import bergamotwall.model.Member
+import bergamotwall.model.MemberState
+import bergamotwall.model.NodeRole
+import bergamotwall.model.ReceiptPhase
+import bergamotwall.runtime.Node
+import bergamotwall.standins.fakes.CallFault
+import bergamotwall.standins.fakes.ManualClock
+import bergamotwall.standins.fakes.MemoryKeyValueStore
+import bergamotwall.standins.fakes.MemoryPeers
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Two entries over one key-value service, as a request is sent again to the other. */
+internal class ReceiptsTest {
+    private class Fixture {
+        val clock = ManualClock()
+        val store = MemoryKeyValueStore(clock)
+        val peers = MemoryPeers()
+        private val nodeA = entryNode("a", store, peers, clock)
+        private val nodeB = entryNode("b", store, peers, clock)
+        val a = receipts(nodeA)
+        val b = receipts(nodeB)
+
+        init {
+            val members = listOf(nodeA, nodeB).map { member(it) }
+            listOf(nodeA, nodeB).forEach { node -> node.board.members.update { members } }
+            peers.connect("a:2") { message, _ -> a.answer(message) }
+            peers.connect("b:2") { message, _ -> b.answer(message) }
+        }
+
+        fun attempt(
+            nonce: String,
+            content: Long = 1,
+        ) = Attempt("k", Fingerprint(content), nonce)
+
+        suspend fun Receipts.decide(attempt: Attempt): String =
+            reserve(attempt).fold({ it::class.simpleName.orEmpty() }, { "refused ${it.runState}" })
+
+        private fun receipts(node: Node): Receipts {
+            val writer = ReceiptWriter(store, clock).apply { start(node.scope) }
+            return Receipts(node, FleetView(node.board), writer)
+        }
+
+        private fun member(node: Node) =
+            Member(
+                node.id,
+                NodeRole.ENTRY,
+                node.settings.dataCentre,
+                node.settings.peerAddress,
+                "h",
+                1,
+                MemberState.ALIVE
+            )
+    }
+
+    private fun case(
+        name: String,
+        block: suspend Fixture.() -> Unit,
+    ): DynamicTest = dynamicTest(name) { runBlocking { Fixture().block() } }
+
+    @TestFactory
+    fun `at most once - one attempt dispatches, whatever happens`(): List<DynamicTest> =
+        listOf(
+            case("a resend at another entry while the first runs") {
+                expectThat(a.decide(attempt("n1"))).isEqualTo("Dispatch")
+                expectThat(b.decide(attempt("n2"))).isEqualTo("OutcomeUnknown")
+            },
+            case("a resend after the answer gets the same answer") {
+                a.decide(attempt("n1"))
+                a.complete(attempt("n1"), a.receipt(ReceiptPhase.DONE, attempt("n1")).copy(status = 200, body = "x"))
+                val replay = b.reserve(attempt("n2")).get() as ReceiptDecision.Replay
+                expectThat(replay.receipt.body).isEqualTo("x")
+            },
+            case("a resend after the entry died is unknown, never run again") {
+                a.decide(attempt("n1"))
+                peers.cut("a:2")
+                expectThat(b.decide(attempt("n2"))).isEqualTo("OutcomeUnknown")
+            },
+            case("a key that is used for another content is refused") {
+                a.decide(attempt("n1"))
+                expectThat(b.decide(attempt("n2", content = 2))).isEqualTo("KeyReused")
+            },
+            case("of many at once, one dispatches") {
+                val decisions = runBlocking {
+                    List(
+                        40
+                    ) { i -> async { (if (i % 2 == 0) a else b).decide(attempt("n$i")) } }.awaitAll()
+                }
+                expectThat(decisions.count { it == "Dispatch" }).isEqualTo(1)
+            },
+        )
+
+    @TestFactory
+    fun `not run is true - refused attempts never dispatch, and give way`(): List<DynamicTest> =
+        listOf(
+            case("an outage refuses as not run, and the resend runs") {
+                store.down = true
+                expectThat(a.decide(attempt("n1"))).isEqualTo("refused NOT_RUN")
+                store.down = false
+                expectThat(b.decide(attempt("n2"))).isEqualTo("Dispatch")
+            },
+            case("a reservation whose answer was lost is found by reading back") {
+                store.failWrites(CallFault.LOST_ANSWER)
+                expectThat(a.decide(attempt("n1"))).isEqualTo("Dispatch")
+            },
+            case("a reservation given up before dispatch is taken over") {
+                a.decide(attempt("n1"))
+                a.abandon(attempt("n1"))
+                expectThat(b.decide(attempt("n2"))).isEqualTo("Dispatch")
+                expectThat(a.decide(attempt("n3"))).isEqualTo("OutcomeUnknown")
+            },
+            case("of two that take over, one dispatches") {
+                a.decide(attempt("n1"))
+                a.abandon(attempt("n1"))
+                val decisions = runBlocking {
+                    listOf(
+                        "n2",
+                        "n3"
+                    ).map { n -> async { b.decide(attempt(n)) } }.awaitAll()
+                }
+                expectThat(decisions.count { it == "Dispatch" }).isEqualTo(1)
+            },
+        )
+}
--- /dev/null
+++ b/entry/src/test/kotlin/bergamotwall/entry/VersionedEngines.kt
@@ -0,0 +1,35 @@
+package bergamotwall.entry
+
+import bergamotwall.model.TargetReport
+import bergamotwall.model.WeightOrder
+import bergamotwall.model.WeightVersion
+import bergamotwall.platform.EngineDriver
+import bergamotwall.platform.EnginePiece
+import bergamotwall.platform.EngineRequest
+import bergamotwall.platform.TargetError
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+/** Engines that answer with one piece of the current version. */
+internal class VersionedEngines(
+    private val version: () -> Long,
+    private val onGenerate: suspend () -> Unit,
+) : EngineDriver {
+    override suspend fun report(address: String): Result<TargetReport, TargetError> = Ok(TargetReport())
+
+    override suspend fun order(
+        address: String,
+        order: WeightOrder,
+    ): Result<Unit, TargetError> = Ok(Unit)
+
+    override suspend fun complete(
+        address: String,
+        request: EngineRequest,
+        onPiece: suspend (EnginePiece) -> Unit,
+    ): Result<Unit, TargetError> {
+        val made = WeightVersion(version())
+        onPiece(EnginePiece("x", 1, made, "stop"))
+        onGenerate()
+        return Ok(Unit)
+    }
+}
--- /dev/null
+++ b/peers/src/test/kotlin/bergamotwall/peers/PeerSocketsTest.kt
@@ -0,0 +1,95 @@
+package bergamotwall.peers
+
+import bergamotwall.model.Done
+import bergamotwall.model.ExplainQuery
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.StatusQuery
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import java.net.Socket
+import java.nio.ByteBuffer
+
+internal class PeerSocketsTest {
+    private val echo =
+        PeerHandler { message: PeerMessage, _ ->
+            if (message is ExplainQuery) ExplainQuery("re: ${message.subject}") else Done
+        }
+
+    @Test
+    fun `answers find their requests when many are under way`(): Unit =
+        runBlocking {
+            PeerServer("127.0.0.1:0", echo).use { server ->
+                PeerClient().use { client ->
+                    val address = "127.0.0.1:${server.port}"
+                    val answers = List(
+                        500
+                    ) { i -> async { client.ask(address, ExplainQuery("$i"), TIMEOUT).get() } }.awaitAll()
+                    expectThat(answers).isEqualTo(List(500) { ExplainQuery("re: $it") })
+                }
+            }
+        }
+
+    @Test
+    fun `a peer that is gone is unreachable, and reached again when it is back`(): Unit =
+        runBlocking {
+            PeerClient().use { client ->
+                val server = PeerServer("127.0.0.1:0", echo)
+                val address = "127.0.0.1:${server.port}"
+                expectThat(client.ask(address, StatusQuery, TIMEOUT).get()).isEqualTo(Done)
+                server.close()
+                expectThat(client.ask(address, StatusQuery, TIMEOUT).isOk).isFalse()
+                expectThat(client.ask(address, StatusQuery, TIMEOUT).getError()).isA<PeerError.Unreachable>()
+                PeerServer(address, echo).use {
+                    expectThat(client.ask(address, StatusQuery, TIMEOUT).get()).isEqualTo(Done)
+                }
+            }
+        }
+
+    @Test
+    fun `a request that waits learns at once that its peer died`(): Unit =
+        runBlocking {
+            val received = CompletableDeferred<Unit>()
+            val server =
+                PeerServer("127.0.0.1:0") { _, _ ->
+                    received.complete(Unit)
+                    CompletableDeferred<PeerMessage>().await()
+                }
+            PeerClient().use { client ->
+                val answer = async { client.ask("127.0.0.1:${server.port}", StatusQuery, HOUR) }
+                received.await()
+                server.close()
+                expectThat(answer.await().getError()).isA<PeerError.NoAnswer>()
+            }
+        }
+
+    @ParameterizedTest
+    @ValueSource(ints = [-1, 0, 3, 100_000_000])
+    fun `malformed frames close their connection and harm no other`(length: Int): Unit =
+        runBlocking {
+            PeerServer("127.0.0.1:0", echo).use { server ->
+                Socket("127.0.0.1", server.port).use { socket ->
+                    socket.getOutputStream().write(ByteBuffer.allocate(8).putInt(length).putInt(0x7f7f7f7f).array())
+                    expectThat(socket.getInputStream().read()).isEqualTo(-1)
+                }
+                PeerClient().use { client ->
+                    expectThat(client.ask("127.0.0.1:${server.port}", StatusQuery, TIMEOUT).get()).isEqualTo(Done)
+                }
+            }
+        }
+
+    private companion object {
+        private const val TIMEOUT = 20_000L
+        private const val HOUR = 3_600_000L
+    }
+}
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
@@ -18,7 +18,6 @@
 import bergamotwall.peers.PeerHandler
 import bergamotwall.peers.PeerServer
 import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.etcd.KeyValueStore
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServerBuilder
 import kotlinx.coroutines.CoroutineScope
@@ -37,12 +36,13 @@
 public class Node(
     public val settings: Settings,
     public val role: NodeRole,
+    drivers: NodeDrivers = systemDrivers(settings),
 ) {
     /** Identity of the process. */
     public val id: NodeId get() = settings.id
 
     /** Clock of the process. */
-    public val clock: Clock = SystemClock
+    public val clock: Clock = drivers.clock
 
     /** Scope of all background work; ends with the process. */
     public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -66,10 +66,10 @@
     public val keeper: DocumentKeeper = DocumentKeeper(board, journal)
 
     /** Client to the other processes. */
-    public val peers: PeerClient = PeerClient()
+    public val peers: PeerClient = drivers.peers
 
     /** The platform's key-value service. */
-    public val store: KeyValueStore = CountedKeyValueStore(KeyValueStore(settings.keyValueAddress), metrics)
+    public val store: KeyValueStore = CountedKeyValueStore(drivers.store, metrics)
 
     /** Reader of what is shared through the key-value service. */
     public val shared: SharedReader = SharedReader(store, keeper)
--- /dev/null
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/NodeDrivers.kt
@@ -0,0 +1,13 @@
+package bergamotwall.runtime
+
+import bergamotwall.model.Settings
+import bergamotwall.peers.PeerClient
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.etcd.KeyValueStore
+
+/** What a node reaches the world by. */
+public data class NodeDrivers(val clock: Clock, val store: KeyValueStore, val peers: PeerClient)
+
+/** The real clock, key-value service and peers, as [settings] say. */
+public fun systemDrivers(settings: Settings): NodeDrivers =
+    NodeDrivers(SystemClock, KeyValueStore(settings.keyValueAddress), PeerClient())
--- /dev/null
+++ b/samples/src/test/kotlin/bergamotwall/samples/SampleLogTest.kt
@@ -0,0 +1,169 @@
+package bergamotwall.samples
+
+import bergamotwall.model.Sample
+import bergamotwall.model.SampleId
+import bergamotwall.model.TrainerName
+import bergamotwall.model.WeightVersion
+import com.github.michaelbull.result.getError
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isTrue
+import java.io.File
+import java.io.IOException
+import java.io.RandomAccessFile
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+
+internal class SampleLogTest {
+    @TempDir
+    lateinit var folder: File
+
+    private val trainer = TrainerName("t")
+
+    @Test
+    fun `samples outlive a restart, released ones do not come back`() {
+        SampleLog(folder).use { log ->
+            log.append(trainer, 1, listOf(sample("a")))
+            log.append(trainer, 2, listOf(sample("b"), sample("c")))
+            log.release(trainer, 1)
+        }
+        SampleLog(folder).use { log ->
+            expectThat(log.find(trainer, 1)).isEmpty()
+            expectThat(ids(log, 2)).containsExactly("b", "c")
+        }
+    }
+
+    @ParameterizedTest(name = "{0} bytes are lost")
+    @ValueSource(ints = [1, 5, 40])
+    fun `a torn tail is cut, what stands before it is kept, and the log goes on`(lost: Long) {
+        SampleLog(folder).use { it.append(trainer, 1, listOf(sample("a"), sample("b"))) }
+        RandomAccessFile(file(), "rw").use { it.setLength(it.length() - lost) }
+        SampleLog(folder).use { log ->
+            expectThat(ids(log, 1)).containsExactly("a")
+            log.append(trainer, 1, listOf(sample("c")))
+        }
+        SampleLog(folder).use { expectThat(ids(it, 1)).containsExactly("a", "c") }
+    }
+
+    @Test
+    fun `a flipped byte is found by its checksum`() {
+        SampleLog(folder).use { it.append(trainer, 1, listOf(sample("a"), sample("b"))) }
+        val bytes = file().readBytes()
+        bytes[bytes.size - 20] = (bytes[bytes.size - 20] + 1).toByte()
+        file().writeBytes(bytes)
+        SampleLog(folder).use { expectThat(ids(it, 1)).containsExactly("a") }
+    }
+
+    @Test
+    fun `a full disk refuses the sample and keeps the earlier ones`() {
+        var full = false
+        val opener = FileOpener { FullChannel(localFiles.open(it)) { full } }
+        SampleLog(folder, opener).use { log ->
+            expectThat(log.append(trainer, 1, listOf(sample("a"))).isOk).isTrue()
+            full = true
+            expectThat(log.append(trainer, 1, listOf(sample("b"))).getError()).isA<SampleLogError.DiskRefused>()
+            expectThat(ids(log, 1)).containsExactly("a")
+            full = false
+            log.append(trainer, 1, listOf(sample("c")))
+        }
+        SampleLog(folder).use { expectThat(ids(it, 1)).containsExactly("a", "c") }
+    }
+
+    private fun file(): File = File(folder, "t.samples")
+
+    private fun ids(
+        log: SampleLog,
+        batch: Long,
+    ): List<String> = log.find(trainer, batch).map { it.id.value }
+
+    private fun sample(id: String): Sample = Sample(
+        SampleId(id),
+        0,
+        listOf(WeightVersion(1)),
+        "some text of $id",
+        3,
+        emptyList()
+    )
+}
+
+/** Channel that writes half of what it is given and then refuses, while [full]. */
+private class FullChannel(private val inner: FileChannel, private val full: () -> Boolean) : FileChannel() {
+    override fun write(
+        src: ByteBuffer,
+        position: Long,
+    ): Int {
+        if (!full()) return inner.write(src, position)
+        val half = src.duplicate().apply { limit(position() + remaining() / 2) }
+        inner.write(half, position)
+        throw IOException("No space left on device")
+    }
+
+    override fun truncate(size: Long): FileChannel = apply { inner.truncate(size) }
+
+    override fun force(metaData: Boolean) = inner.force(metaData)
+
+    override fun implCloseChannel() = inner.close()
+
+    override fun read(dst: ByteBuffer): Int = inner.read(dst)
+
+    override fun read(
+        dsts: Array<ByteBuffer>,
+        offset: Int,
+        length: Int,
+    ): Long = inner.read(dsts, offset, length)
+
+    override fun read(
+        dst: ByteBuffer,
+        position: Long,
+    ): Int = inner.read(dst, position)
+
+    override fun write(src: ByteBuffer): Int = inner.write(src)
+
+    override fun write(
+        srcs: Array<ByteBuffer>,
+        offset: Int,
+        length: Int,
+    ): Long = inner.write(srcs, offset, length)
+
+    override fun position(): Long = inner.position()
+
+    override fun position(newPosition: Long): FileChannel = apply { inner.position(newPosition) }
+
+    override fun size(): Long = inner.size()
+
+    override fun transferTo(
+        position: Long,
+        count: Long,
+        target: java.nio.channels.WritableByteChannel,
+    ): Long = inner.transferTo(position, count, target)
+
+    override fun transferFrom(
+        src: java.nio.channels.ReadableByteChannel,
+        position: Long,
+        count: Long,
+    ): Long = inner.transferFrom(src, position, count)
+
+    override fun map(
+        mode: MapMode,
+        position: Long,
+        size: Long,
+    ): java.nio.MappedByteBuffer = inner.map(mode, position, size)
+
+    override fun lock(
+        position: Long,
+        size: Long,
+        shared: Boolean,
+    ): java.nio.channels.FileLock = inner.lock(position, size, shared)
+
+    override fun tryLock(
+        position: Long,
+        size: Long,
+        shared: Boolean,
+    ): java.nio.channels.FileLock? = inner.tryLock(position, size, shared)
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryKeyValueStore.kt
@@ -0,0 +1,100 @@
+package bergamotwall.standins.fakes
+
+import bergamotwall.platform.KeyValueEntry
+import bergamotwall.platform.KeyValueError
+import bergamotwall.platform.KeyValueListing
+import bergamotwall.platform.KeyValueStore
+import bergamotwall.platform.LeaseId
+import bergamotwall.platform.Transaction
+import bergamotwall.platform.TransactionOutcome
+import bergamotwall.platform.etcd.RangeRequest
+import bergamotwall.platform.etcd.base64Of
+import bergamotwall.platform.etcd.endOf
+import bergamotwall.platform.etcd.entryOf
+import bergamotwall.platform.etcd.outcomeOf
+import bergamotwall.platform.etcd.txnOf
+import bergamotwall.runtime.Clock
+import bergamotwall.standins.KeyValueState
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+
+/** What goes wrong with one call. */
+public enum class CallFault {
+    /** Nothing. */
+    NONE,
+
+    /** The call never arrives. */
+    UNREACHABLE,
+
+    /** The call takes effect, its answer is lost. */
+    LOST_ANSWER,
+}
+
+/** Key-value service in memory, on the clock of the test, with faults call by call. */
+public class MemoryKeyValueStore(clock: Clock) : KeyValueStore {
+    private val state = KeyValueState { clock.monotonicMillis() }
+    private val mutex = Mutex()
+    private val script = ArrayDeque<CallFault>()
+
+    /** Whether no call arrives. */
+    @Volatile
+    public var down: Boolean = false
+
+    /** The next write calls go wrong as [faults] say, in order. */
+    public fun failWrites(vararg faults: CallFault) {
+        script += faults
+    }
+
+    override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
+        read { state.range(RangeRequest(base64Of(key))).kvs.firstOrNull()?.let(::entryOf) }
+
+    override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> =
+        read {
+            val answer = state.range(RangeRequest(base64Of(prefix), base64Of(endOf(prefix))))
+            KeyValueListing(answer.kvs.map(::entryOf), answer.header.revision.toLong())
+        }
+
+    override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
+        write { outcomeOf(state.txn(txnOf(transaction))) }
+
+    override suspend fun grantLease(ttlSeconds: Long): Result<LeaseId, KeyValueError> =
+        read { LeaseId(state.grant(ttlSeconds)) }
+
+    override suspend fun keepAlive(lease: LeaseId): Result<Unit, KeyValueError> {
+        val leftSeconds = mutex.withLock { state.keepAlive(lease.value) }
+        return when {
+            down -> Err(unreachable)
+            leftSeconds == 0L -> Err(KeyValueError.LeaseGone("lapsed"))
+            else -> Ok(Unit)
+        }
+    }
+
+    override suspend fun revoke(lease: LeaseId): Result<Unit, KeyValueError> = read { state.revoke(lease.value) }
+
+    override fun watch(
+        prefix: String,
+        fromRevision: Long,
+    ): Flow<KeyValueEntry> = emptyFlow()
+
+    private suspend fun <T> read(block: () -> T): Result<T, KeyValueError> =
+        if (down) Err(unreachable) else Ok(mutex.withLock { block() })
+
+    private suspend fun <T> write(block: () -> T): Result<T, KeyValueError> =
+        when (if (down) CallFault.UNREACHABLE else script.removeFirstOrNull() ?: CallFault.NONE) {
+            CallFault.NONE -> Ok(mutex.withLock { block() })
+            CallFault.UNREACHABLE -> Err(unreachable)
+            CallFault.LOST_ANSWER -> {
+                mutex.withLock { block() }
+                Err(KeyValueError.Unavailable("answer lost", mayHaveApplied = true))
+            }
+        }
+
+    private companion object {
+        private val unreachable = KeyValueError.Unavailable("unreachable", mayHaveApplied = false)
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryPeers.kt
@@ -0,0 +1,48 @@
+package bergamotwall.standins.fakes
+
+import bergamotwall.model.PeerMessage
+import bergamotwall.peers.PeerClient
+import bergamotwall.peers.PeerError
+import bergamotwall.peers.PeerHandler
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.util.concurrent.ConcurrentHashMap
+
+/** Peers in memory: messages go straight to the handler at an address, unless the test cut it off. */
+public class MemoryPeers : PeerClient {
+    private val handlers = ConcurrentHashMap<String, PeerHandler>()
+    private val cut = ConcurrentHashMap.newKeySet<String>()
+
+    override val bytesSent: Long = 0
+
+    /** Puts [handler] at [address]. */
+    public fun connect(
+        address: String,
+        handler: PeerHandler,
+    ) {
+        handlers[address] = handler
+    }
+
+    /** Cuts [address] off, or lets it be reached again. */
+    public fun cut(
+        address: String,
+        off: Boolean = true,
+    ) {
+        if (off) cut += address else cut -= address
+    }
+
+    override suspend fun ask(
+        address: String,
+        message: PeerMessage,
+        timeoutMillis: Long,
+        trace: String?,
+    ): Result<PeerMessage, PeerError> {
+        val handler = handlers[address]?.takeIf { address !in cut }
+        return if (handler == null) Err(PeerError.Unreachable(address)) else Ok(handler.answer(message, trace))
+    }
+
+    override fun close() {
+        handlers.clear()
+    }
+}
