Measure the fleet against baselines

Cause: the policies had tests but no figures. Change: seven benches over a whole fleet in one process; entries can run two baselines in place of the dispatch shards. The fleet view is derived once a change and no longer once a request. A caller that went away in mid-stream was taken for a broken target, retried and held against the target; it now cancels its run, and a test abandons streams and expects no retry. Paths that nothing serves now get a problem document too.

--- /dev/null
+++ b/bench/src/main/kotlin/bergamotwall/bench/ControlBench.kt
@@ -0,0 +1,154 @@
+package bergamotwall.bench
+
+import bergamotwall.model.DataCentre
+import bergamotwall.model.NodeId
+import bergamotwall.model.NodeRole
+import bergamotwall.model.Settings
+import bergamotwall.runtime.Node
+import bergamotwall.standins.KeyValueStandIn
+import com.sun.management.OperatingSystemMXBean
+import java.lang.management.ManagementFactory
+import kotlin.math.ln
+
+/** Bytes, processor time and heap that membership and documents cost a node, with 8 to 64 nodes in this process. */
+internal class ControlBench : Bench {
+    override val name = "control"
+
+    private class Cost(
+        val nodes: Int,
+        val bytesPerSecond: Double,
+        val cpuPercent: Double,
+        val heapMegabytes: Double,
+        val callsPerSecond: Double,
+    )
+
+    override fun run(options: BenchOptions): BenchResult {
+        val costs = SIZES.map { measure(it, options) }
+        val per = costs.flatMap { c -> figures(c) }
+        return BenchResult(name, per + projected(costs))
+    }
+
+    private fun figures(cost: Cost): List<Figure> =
+        listOf(
+            figureOf("${cost.nodes} nodes: sent", "bytes/s a node", listOf(cost.bytesPerSecond), atMost = BYTES_BUDGET),
+            figureOf(
+                "${cost.nodes} nodes: processor",
+                "% of a core a node",
+                listOf(cost.cpuPercent),
+                atMost = CPU_BUDGET
+            ),
+            figureOf("${cost.nodes} nodes: heap", "MB a node", listOf(cost.heapMegabytes), atMost = HEAP_BUDGET),
+            figureOf("${cost.nodes} nodes: key-value calls", "calls/s in all", listOf(cost.callsPerSecond)),
+        )
+
+    /** Straight lines through the smallest and the largest fleet, read at 960 processes on 320 VMs. */
+    private fun projected(costs: List<Cost>): List<Figure> {
+        val small = costs.first()
+        val large = costs.last()
+        val line = { of: (Cost) -> Double ->
+            val slope = (of(large) - of(small)) / (ln(large.nodes.toDouble()) - ln(small.nodes.toDouble()))
+            of(large) + slope * (ln(TARGET_NODES) - ln(large.nodes.toDouble()))
+        }
+        val heapSlope = (large.heapMegabytes - small.heapMegabytes) / (large.nodes - small.nodes)
+        return listOf(
+            figureOf(
+                "at 640 nodes, by log slope: sent",
+                "bytes/s a node",
+                listOf(
+                    line {
+                        it.bytesPerSecond
+                    }
+                ),
+                atMost = BYTES_BUDGET
+            ),
+            figureOf(
+                "at 640 nodes, by log slope: processor",
+                "% of a core a node",
+                listOf(
+                    line {
+                        it.cpuPercent
+                    }
+                ),
+                atMost = CPU_BUDGET
+            ),
+            figureOf(
+                "at 640 nodes, by linear slope: heap",
+                "MB a node",
+                listOf(large.heapMegabytes + heapSlope * (TARGET_NODES - large.nodes)),
+                atMost = HEAP_BUDGET,
+            ),
+        )
+    }
+
+    private fun measure(
+        count: Int,
+        options: BenchOptions,
+    ): Cost {
+        val heapBefore = heapBytes()
+        return KeyValueStandIn("127.0.0.1:0", options.seed).use { keyValue ->
+            val ports = freePorts(count * 2)
+            val nodes = List(count) { i -> node(i, ports[2 * i], ports[2 * i + 1], ports[1], keyValue.port) }
+            Thread.sleep(SETTLE_MILLIS)
+            val cpu = cpuNanos()
+            val bytes = nodes.sumOf { it.bytesSent }
+            val calls = keyValue.calls.let { it.reads + it.writes + it.watches }
+            Thread.sleep(options.seconds * MILLIS)
+            val seconds = options.seconds.toDouble()
+            val cost =
+                Cost(
+                    nodes = count,
+                    bytesPerSecond = (nodes.sumOf { it.bytesSent } - bytes) / seconds / count,
+                    cpuPercent = (cpuNanos() - cpu) / seconds / NANOS / count * PERCENT,
+                    heapMegabytes = (heapBytes() - heapBefore) / MEGABYTE / count,
+                    callsPerSecond = (keyValue.calls.let { it.reads + it.writes + it.watches } - calls) / seconds,
+                )
+            nodes.forEach { it.halt() }
+            cost
+        }
+    }
+
+    private fun node(
+        index: Int,
+        httpPort: Int,
+        peerPort: Int,
+        seedPort: Int,
+        keyValuePort: Int,
+    ): Node {
+        val settings =
+            Settings(
+                id = NodeId("node-$index"),
+                dataCentre = DataCentre("dc-${index % DATA_CENTRES}"),
+                httpAddress = "127.0.0.1:$httpPort",
+                peerAddress = "127.0.0.1:$peerPort",
+                keyValueAddress = "127.0.0.1:$keyValuePort",
+                vmListAddress = "127.0.0.1:1",
+                seeds = listOf("127.0.0.1:$seedPort"),
+            )
+        return Node(
+            settings,
+            NodeRole.CONTROLLER
+        ).also { node -> node.start({ message, _ -> Node.notServed(message) }) { } }
+    }
+
+    private fun heapBytes(): Double {
+        repeat(2) { System.gc() }
+        return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used.toDouble()
+    }
+
+    private fun cpuNanos(): Long =
+        (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
+
+    private companion object {
+        private val SIZES = listOf(8, 16, 32, 64)
+        private const val TARGET_NODES = 640.0
+        private const val DATA_CENTRES = 7
+        private const val BYTES_BUDGET = 3_000.0
+        private const val CPU_BUDGET = 2.6
+        private const val HEAP_BUDGET = 32.0
+        private const val SETTLE_MILLIS = 8_000L
+        private const val MILLIS = 1_000L
+        private const val NANOS = 1e9
+        private const val PERCENT = 100.0
+        private const val MEGABYTE = 1_048_576.0
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/bergamotwall/bench/DecideFixture.kt
@@ -0,0 +1,76 @@
+package bergamotwall.bench
+
+import bergamotwall.decisions.DispatchDecision
+import bergamotwall.decisions.DispatchEvent
+import bergamotwall.decisions.DispatchLimits
+import bergamotwall.decisions.DispatchTarget
+import bergamotwall.decisions.Dispatcher
+import bergamotwall.decisions.shardCount
+import bergamotwall.decisions.shardOfTarget
+import bergamotwall.model.DataCentre
+import bergamotwall.model.Fingerprint
+import bergamotwall.model.Finished
+import bergamotwall.model.NodeId
+import bergamotwall.model.Offer
+import bergamotwall.model.PriorityClass
+import bergamotwall.model.RequestId
+import bergamotwall.model.RunOutcome
+import bergamotwall.model.TargetId
+import bergamotwall.model.TargetReport
+import bergamotwall.model.WeightVersion
+import kotlin.random.Random
+
+/** The dispatcher of the first shard of a fleet of [replicas], half loaded; for the JMH benchmark. */
+public class DecideFixture(replicas: Int) {
+    private val dispatcher = Dispatcher(DispatchLimits(), { 1 }, Random(1))
+    private val open = ArrayDeque<RequestId>()
+    private var next = 0L
+
+    init {
+        val count = shardCount(replicas)
+        val ids = List(replicas) { TargetId("engine-$it") }.filter { shardOfTarget(it, count) == 0 }
+        dispatcher.handle(DispatchEvent.Listed(ids.map { DispatchTarget(it, "h:1", DataCentre("dc"), false) }), 0)
+        val report = TargetReport(version = WeightVersion(1), slots = SLOTS, bootId = "b")
+        ids.forEach { dispatcher.handle(DispatchEvent.Reported(it, report), 0) }
+        repeat(ids.size * SLOTS / 2) { open.addLast(offer()) }
+    }
+
+    /** Grants one request and returns the eldest; the answer keeps the work alive. */
+    public fun decide(): Any {
+        open.addLast(offer())
+        val eldest = open.removeFirst()
+        val finished =
+            Finished(eldest, "m", TargetId(""), Fingerprint(0), RunOutcome.WHOLE, FIRST_TOKEN, DURATION, 1, emptyList())
+        return dispatcher.handle(DispatchEvent.Returned(finished), next)
+    }
+
+    private fun offer(): RequestId {
+        val id = RequestId("r${next++}")
+        val offer =
+            Offer(
+                request = id,
+                requester = NodeId("n"),
+                serves = "m",
+                priorityClass = if (next % 2 == 0L) PriorityClass.APPLICATION else PriorityClass.TRAINING,
+                flow = "f${next % FLOWS}",
+                sequence = 0,
+                prefix = next % PREFIXES,
+                fingerprint = Fingerprint(next),
+                minVersion = WeightVersion(1),
+                expectedTokens = 1,
+                deadlineInMillis = Long.MAX_VALUE / 2,
+                dataCentre = DataCentre("dc"),
+            )
+        val decided = dispatcher.handle(DispatchEvent.Offered(offer), next)
+        check(decided.single() is DispatchDecision.Grant)
+        return id
+    }
+
+    private companion object {
+        private const val SLOTS = 8
+        private const val FLOWS = 4
+        private const val PREFIXES = 1_000
+        private const val FIRST_TOKEN = 20L
+        private const val DURATION = 200L
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/bergamotwall/bench/OverheadBench.kt
@@ -0,0 +1,95 @@
+package bergamotwall.bench
+
+import com.sun.management.OperatingSystemMXBean
+import java.lang.management.ManagementFactory
+
+/** Latency and processor time that an entry adds to a call, and the tokens that one core can pass on. */
+internal class OverheadBench : Bench {
+    override val name = "overhead"
+
+    private class Cost(val micros: Double, val cpuMicros: Double)
+
+    override fun run(options: BenchOptions): BenchResult {
+        val engine = benchEngine.copy(
+            slots = 64,
+            tokenMillis = 0.0,
+            prefillMillis = 0.0,
+            medianTokens = TOKENS,
+            tailSigma = 0.0
+        )
+        val shape = FleetShape(mixes.first().intent, engines = 1, services = 0, entries = 1, engine = engine)
+        return LocalFleet(shape).use { fleet ->
+            val direct = "127.0.0.1:${fleet.engines.first().port}"
+            val entry = fleet.entries.first()
+            repeat(WARM_UP) { listOf(direct, entry).forEach { address -> call(address, SHORT, stream = false) } }
+            repeat(WARM_UP) { listOf(direct, entry).forEach { address -> call(address, TOKENS, stream = true) } }
+            val rounds = List(options.rounds) { round(direct, entry) }
+            BenchResult(name, figures(rounds))
+        }
+    }
+
+    private class Round(val added: Double, val addedCpu: Double, val tokensPerCore: Double)
+
+    private fun round(
+        direct: String,
+        entry: String,
+    ): Round {
+        val plain = measure(CALLS) { call(direct, SHORT, stream = false) }
+        val through = measure(CALLS) { call(entry, SHORT, stream = false) }
+        val plainStream = measure(STREAMS) { call(direct, TOKENS, stream = true) }
+        val throughStream = measure(STREAMS) { call(entry, TOKENS, stream = true) }
+        val perStream = throughStream.cpuMicros - plainStream.cpuMicros
+        return Round(through.micros - plain.micros, through.cpuMicros - plain.cpuMicros, TOKENS * MICROS / perStream)
+    }
+
+    private fun figures(rounds: List<Round>): List<Figure> {
+        val perCore = rounds.map { it.tokensPerCore }
+        return listOf(
+            figureOf("added latency, median", "us", rounds.map { it.added }, atMost = TARGET_MICROS),
+            figureOf("added processor time a call", "us", rounds.map { it.addedCpu }),
+            figureOf("streamed tokens a second and core", "tokens/s", perCore),
+            figureOf("cores for 1.4 M tokens/s", "cores", perCore.map { PEAK_TOKENS / it }),
+        )
+    }
+
+    private fun measure(
+        count: Int,
+        call: () -> Unit,
+    ): Cost {
+        val cpuBefore = cpuNanos()
+        val micros =
+            List(count) {
+                val start = System.nanoTime()
+                call()
+                (System.nanoTime() - start) / NANOS_PER_MICRO
+            }
+        return Cost(percentile(micros, MEDIAN), (cpuNanos() - cpuBefore).toDouble() / NANOS_PER_MICRO / count)
+    }
+
+    private fun call(
+        address: String,
+        tokens: Int,
+        stream: Boolean,
+    ) {
+        val body = calls.body("model", "overhead", tokens, stream)
+        check(calls.start(address, body).join().status().isSuccess)
+    }
+
+    private val calls = DirectCalls("app-key")
+
+    private fun cpuNanos(): Long =
+        (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
+
+    private companion object {
+        private const val TARGET_MICROS = 1_000.0
+        private const val TOKENS = 400
+        private const val SHORT = 4
+        private const val WARM_UP = 300
+        private const val CALLS = 500
+        private const val STREAMS = 100
+        private const val MEDIAN = 50.0
+        private const val NANOS_PER_MICRO = 1_000L
+        private const val MICROS = 1_000_000.0
+        private const val PEAK_TOKENS = 1_400_000.0
+    }
+}
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -25,6 +25,9 @@
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
 import java.util.UUID
@@ -230,9 +233,15 @@
             writer.tryWrite(ResponseHeaders.builder(OK_STATUS).contentType(MediaType.EVENT_STREAM).build())
         }
 
+        /** A caller that went away cancels the run; it is no fault of the target. */
         private suspend fun write(data: String) {
-            writer.tryWrite(HttpData.ofUtf8("data: $data\n\n"))
-            writer.whenConsumed().await()
+            val open = writer.tryWrite(HttpData.ofUtf8("data: $data\n\n"))
+            val consumed = open && writer.whenConsumed().handle { _, error -> error == null }.await()
+            if (!consumed) {
+                node.metrics.cancelled.labelValues("abandoned").inc()
+                currentCoroutineContext().cancel()
+                currentCoroutineContext().ensureActive()
+            }
         }
     }
 
--- a/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
@@ -1,6 +1,7 @@
 package bergamotwall.entry
 
 import bergamotwall.model.CompleteReceipt
+import bergamotwall.model.DispatchPolicy
 import bergamotwall.model.Finished
 import bergamotwall.model.NodeRole
 import bergamotwall.model.NodeStatus
@@ -33,7 +34,7 @@
     private val engines = EngineDriver(client)
     private val fleet = FleetView(node.board)
     private val hub = DispatchHub(node, fleet, ReportPoller(node.scope, engines))
-    private val permits = Permits(node, fleet, hub)
+    private val permits = permitSource()
     private val budgets = Budgets()
     private val runner = GenerationRunner(node, permits, engines, budgets)
     private val groups = GroupRunner(node, runner)
@@ -48,6 +49,11 @@
     private val trainers = TrainerApi(Publications(node), identity, coordinator)
     private val entries = EntriesApi(node)
 
+    private fun permitSource(): PermitSource {
+        val policy = node.settings.dispatch
+        return if (policy == DispatchPolicy.SHARDS) Permits(node, fleet, hub) else BaselinePermits(node, policy)
+    }
+
     fun start() {
         writer.start(node.scope)
         node.start({ message, _ -> answer(message) }, ::routes)
--- a/entry/src/main/kotlin/bergamotwall/entry/FleetView.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/FleetView.kt
@@ -6,53 +6,83 @@
 import bergamotwall.decisions.shardName
 import bergamotwall.decisions.shardOfPrefix
 import bergamotwall.decisions.shardOfTarget
+import bergamotwall.model.Configuration
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
 import bergamotwall.model.NodeRole
 import bergamotwall.model.TargetId
 import bergamotwall.model.Vm
+import bergamotwall.model.VmList
 import bergamotwall.model.VmRole
 import bergamotwall.runtime.Blackboard
+import java.util.concurrent.atomic.AtomicReference
 
-/** What an entry derives from the blackboard: shards, their owners and their targets. */
+/** What an entry derives from the blackboard: shards, their owners and their targets. Derived once a change. */
 internal class FleetView(private val board: Blackboard) {
-    /** Targets of every shard, by shard name. */
-    fun shards(): Map<String, List<DispatchTarget>> {
-        val drained = board.configuration.read()
-        return targetVms()
-            .groupBy { it.serves }
-            .flatMap { (serves, vms) ->
-                vms.groupBy { shardName(serves, shardOfTarget(TargetId(it.id), shardCount(vms.size))) }.entries
-            }.associate { (shard, vms) -> shard to vms.map { target(it, drained.drains(it.id)) } }
+    private class Targets(val vmList: VmList, val configuration: Configuration) {
+        val countOf: Map<String, Int>
+        val shards: Map<String, List<DispatchTarget>>
+
+        init {
+            val vms = vmList.vms.filter { it.role != VmRole.NODE }
+            countOf = vms.groupingBy { it.serves }.eachCount()
+            shards = vms.groupBy { shardOf(it) }.mapValues { (_, shard) -> shard.map(::target) }
+        }
+
+        private fun shardOf(vm: Vm): String =
+            shardName(vm.serves, shardOfTarget(TargetId(vm.id), shardCount(countOf.getValue(vm.serves))))
+
+        private fun target(vm: Vm): DispatchTarget =
+            DispatchTarget(TargetId(vm.id), vm.address, vm.dataCentre, vm.leaving || configuration.drains(vm.id))
+    }
+
+    private class Owners(val members: List<Member>) {
+        private val entries = members.filter { it.role == NodeRole.ENTRY && it.state == MemberState.ALIVE }
+        private val byId = entries.associateBy { it.id }
+
+        fun of(key: String): Member? = ownerOf(key, byId.keys)?.let { byId[it] }
     }
 
+    private val targets = AtomicReference(Targets(VmList(), Configuration()))
+    private val owners = AtomicReference(Owners(emptyList()))
+
+    /** Targets of every shard, by shard name. */
+    fun shards(): Map<String, List<DispatchTarget>> = current().shards
+
     /** Shard that a request for [serves] with [prefix] belongs to, or null if nothing serves it. */
     fun shardFor(
         serves: String,
         prefix: Long,
     ): String? {
-        val count = targetVms().count { it.serves == serves }
-        if (count == 0) return null
-        val names = shards().keys.filter { it.substringBeforeLast('#') == serves }.sorted()
-        val preferred = shardName(serves, shardOfPrefix(prefix, shardCount(count)))
-        return preferred.takeIf { it in names } ?: names.firstOrNull()
+        val derived = current()
+        val count = shardCount(derived.countOf[serves] ?: return null)
+        val preferred = shardName(serves, shardOfPrefix(prefix, count))
+        return preferred.takeIf { it in derived.shards } ?: firstShard(serves, count, derived)
     }
 
     /** The entry that owns [key]: a shard, a trainer or a receipt shard. */
     fun owner(key: String): Member? {
-        val entries = board.members.read().filter { it.role == NodeRole.ENTRY && it.state == MemberState.ALIVE }
-        val owner = ownerOf(key, entries.map { it.id })
-        return entries.find { it.id == owner }
+        val members = board.members.read()
+        val derived = owners.updateAndGet { if (it.members === members) it else Owners(members) }
+        return derived.of(key)
     }
 
     /** Sample stores that can be written to. */
     fun sampleStores(): List<Member> =
         board.members.read().filter { it.role == NodeRole.SAMPLES && it.state <= MemberState.LEAVING }
 
-    private fun targetVms(): List<Vm> = board.vmList.read().vms.filter { it.role != VmRole.NODE }
+    /** A shard that hashing left empty is served by the next that is not. */
+    private fun firstShard(
+        serves: String,
+        count: Int,
+        derived: Targets,
+    ): String? = (0 until count).map { shardName(serves, it) }.firstOrNull { it in derived.shards }
 
-    private fun target(
-        vm: Vm,
-        drained: Boolean,
-    ): DispatchTarget = DispatchTarget(TargetId(vm.id), vm.address, vm.dataCentre, vm.leaving || drained)
+    private fun current(): Targets {
+        val vmList = board.vmList.read()
+        val configuration = board.configuration.read()
+        return targets.updateAndGet {
+            if (it.vmList === vmList && it.configuration === configuration) it else Targets(vmList, configuration)
+        }
+    }
 }
--- a/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
@@ -118,6 +118,11 @@
                 val both = runBlocking { List(2) { async { order(1) } }.awaitAll() }.map { ids(it.get()) }
                 expectThat(both[0]).isEqualTo(both[1]).hasSize(4)
             },
+            case("another entry commits right before this one does") {
+                var other = emptyList<String>()
+                store.beforeCommit = { other = ids(order(1).get()) }
+                expectThat(ids(order(1).get())).isEqualTo(other).hasSize(4)
+            },
             case("the commit's answer is lost") {
                 store.failWrites(CallFault.LOST_ANSWER)
                 val first = ids(order(1).get())
@@ -163,6 +168,14 @@
                     }.get()
                 expectThat(batch).isNotNull().get { samples.minOf { it.versions.min().value } }.isEqualTo(4)
             },
+            case("a version published between the check and the commit") {
+                store.beforeCommit = { publish(4) }
+                val batch = order(1).get()
+                expectThat(batch).isNotNull().and {
+                    get { published.value }.isEqualTo(4)
+                    get { samples.minOf { it.versions.min().value } }.isEqualTo(4)
+                }
+            },
             case("a batch that was not taken before newer versions came is made anew") {
                 order(1)
                 publish(5)
--- a/model/src/main/kotlin/bergamotwall/model/Settings.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Settings.kt
@@ -20,6 +20,7 @@
     val traceEndpoint: String? = null,
     val randomSeed: Long = 0,
     val maxBodyBytes: Long = 8_388_608,
+    val dispatch: DispatchPolicy = DispatchPolicy.SHARDS,
 )
 
 /** Checks rules of [settings] that its types cannot express; empty if valid. */
--- a/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
@@ -6,6 +6,7 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -18,11 +19,15 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
+import java.util.concurrent.atomic.AtomicLong
 
 /** Listens for other processes. */
 public interface PeerServer : AutoCloseable {
     /** Port that it listens on. */
     public val port: Int
+
+    /** Bytes of answers written so far. */
+    public val bytesSent: Long
 }
 
 /** Starts to listen on [address], `host:port` (port 0 for any), and gives every message to [handler]. */
@@ -40,6 +45,10 @@
             aSocket(selector).tcp().bind(local) { reuseAddress = true }
         }
 
+    private val sent = AtomicLong()
+
+    override val bytesSent: Long get() = sent.get()
+
     override val port: Int get() = (server.localAddress as InetSocketAddress).port
 
     init {
@@ -79,7 +88,7 @@
             val permits = Semaphore(MAX_IN_FLIGHT)
             val input = socket.openReadChannel()
             val output = socket.openWriteChannel()
-            val writer = launch { for (frame in outgoing) output.writeFrame(frame) }
+            val writer = launch { for (frame in outgoing) write(output, frame) }
             try {
                 while (true) {
                     val envelope = decodeFrame(input.readFrame())
@@ -99,6 +108,14 @@
             }
         }
 
+    private suspend fun write(
+        output: ByteWriteChannel,
+        frame: ByteArray,
+    ) {
+        output.writeFrame(frame)
+        sent.addAndGet((frame.size + LENGTH_BYTES).toLong())
+    }
+
     private companion object {
         private const val OUTGOING_FRAMES = 1_024
         private const val MAX_IN_FLIGHT = 4_096
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Http.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Http.kt
@@ -3,7 +3,6 @@
 import bergamotwall.model.Jsons
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemDocument
-import bergamotwall.model.ProblemKind
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
@@ -70,19 +69,4 @@
         .service("/readyz") { _, _ ->
             if (ready()) HttpResponse.of("ready") else HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)
         }.service("/metrics") { _, _ -> HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, metrics.expose()) }
-        .errorHandler { _, cause -> problemResponse(problemOf(cause)) }
-
-private fun problemOf(cause: Throwable): Problem =
-    when (cause) {
-        is com.linecorp.armeria.common.ContentTooLargeException ->
-            Problem(ProblemKind.TOO_LARGE, "the body is over the limit: send a smaller one")
-        is com.linecorp.armeria.server.HttpStatusException -> ofStatus(cause.httpStatus().code())
-        else -> Problem(ProblemKind.UNAVAILABLE, "the process is stopping or failed: ${cause.message}", runStateUnknown)
-    }
-
-private val runStateUnknown = bergamotwall.model.RunState.UNKNOWN
-
-private fun ofStatus(status: Int): Problem {
-    val kind = ProblemKind.entries.find { it.status == status } ?: ProblemKind.NOT_FOUND
-    return Problem(kind, "no such resource or method")
-}
+        .errorHandler(ProblemErrors)
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
@@ -85,6 +85,9 @@
     private var peerServer: PeerServer? = null
     private var httpServer: Server? = null
 
+    /** Bytes sent to other processes so far. */
+    public val bytesSent: Long get() = peers.bytesSent + (peerServer?.bytesSent ?: 0)
+
     /** Starts everything: peers answered by [handler] where the node itself does not, HTTP routes by [routes]. */
     public fun start(
         handler: PeerHandler,
@@ -108,12 +111,17 @@
             loop.leave()
             delay(settings.addressTtlMillis + LEAVE_SPREAD_MILLIS)
         }
+        halt()
+        Logger.info("event={}", "stopped")
+    }
+
+    /** Ends the process's work without announcing it; requests in flight finish. */
+    public fun halt() {
         httpServer?.stop()?.join()
         scope.cancel()
         peerServer?.close()
         peers.close()
         tracing.close()
-        Logger.info("event={}", "stopped")
     }
 
     private suspend fun answer(message: PeerMessage): PeerMessage? =
--- /dev/null
+++ b/standins/src/main/kotlin/bergamotwall/standins/CallerOptions.kt
@@ -0,0 +1,14 @@
+package bergamotwall.standins
+
+/** Settings of the caller stand-in. */
+public data class CallerOptions(
+    val name: String,
+    val key: String,
+    val model: String,
+    val service: String,
+    val entries: List<String>,
+    val workers: Int = 3,
+    val pauseMillis: Long = 40,
+    val runMillis: Long = 10_000,
+    val seed: Long = 1,
+)
--- a/standins/src/main/kotlin/bergamotwall/standins/CallerStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/CallerStandIn.kt
@@ -11,21 +11,9 @@
 import kotlinx.serialization.Serializable
 import java.io.File
 import java.util.UUID
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
 
-/** Settings of the caller stand-in. */
-public data class CallerOptions(
-    val name: String,
-    val key: String,
-    val model: String,
-    val service: String,
-    val entries: List<String>,
-    val workers: Int = 3,
-    val pauseMillis: Long = 40,
-    val runMillis: Long = 10_000,
-    val seed: Long = 1,
-)
-
 @Serializable
 private data class AskedCompletion(
     val model: String,
@@ -49,14 +37,17 @@
     private val calls = Calls(options.key)
     private val records = Records(File(folder, "caller-${options.name}.jsonl"), CallRecord.serializer())
 
+    private val tookMillis = ConcurrentLinkedQueue<Long>()
+
     private class Outcome(val outcome: CallOutcome, val detail: String, val retryAfterMillis: Long?)
 
-    /** Runs for the stated time, then until the open calls have ended. */
-    public suspend fun run() {
+    /** Runs for the stated time, then until the open calls have ended; returns what whole completions took. */
+    public suspend fun run(): List<Long> {
         coroutineScope {
             repeat(options.workers) { worker -> launch { work(Random(options.seed * WORKER_STEP + worker)) } }
         }
         records.close()
+        return tookMillis.toList()
     }
 
     private suspend fun work(random: Random) {
@@ -112,6 +103,7 @@
                 ),
             )
             if (reply.answer == null) picker.failed(address)
+            if (outcome.outcome == CallOutcome.WHOLE && kind == CallKind.MODEL) this.tookMillis += tookMillis
             val unrepeatable = outcome.outcome == CallOutcome.UNKNOWN && kind == CallKind.SERVICE
             if (outcome.outcome == CallOutcome.WHOLE || unrepeatable || tookMillis > GIVE_UP_MILLIS) return
             delay(outcome.retryAfterMillis ?: RETRY_MILLIS)
--- a/standins/src/main/kotlin/bergamotwall/standins/EngineModel.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/EngineModel.kt
@@ -1,7 +1,5 @@
 package bergamotwall.standins
 
-import bergamotwall.decisions.hashOf
-import kotlin.math.exp
 import kotlin.random.Random
 
 /** Lengths and times of the engine stand-in. */
@@ -13,17 +11,14 @@
     val medianTokens: Int,
     val tailSigma: Double,
 ) {
-    /** Tokens that the request will have: log-normal with a long tail, the same whenever it is asked again. */
+    private val lengths = TokenLengths(medianTokens, tailSigma, seed)
+
+    /** Tokens that the request will have, the same on every attempt at it. */
     fun length(
         prompt: String,
         requestId: String,
         maxTokens: Int,
-    ): Int {
-        val base = requestId.substringBeforeLast('.')
-        val random = java.util.Random(hashOf("$seed/$prompt/$base"))
-        val tokens = medianTokens * exp(tailSigma * random.nextGaussian())
-        return tokens.toInt().coerceIn(MIN_TOKENS, maxTokens)
-    }
+    ): Int = lengths.of(prompt, requestId.substringBeforeLast('.'), maxTokens)
 
     /** Time of one decoding step while [running] requests share the batch. */
     fun stepMillis(running: Int): Double = tokenMillis * (1 + BATCH_COST * running / slots)
@@ -35,7 +30,6 @@
     fun random(): Random = Random(seed)
 
     private companion object {
-        private const val MIN_TOKENS = 4
         private const val BATCH_COST = 0.3
         private const val CACHED_SHARE = 0.2
     }
--- a/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.launch
@@ -173,7 +174,8 @@
         val choice = CompletionChoice(text, if (last) "stop" else null)
         val event = CompletionEvent(listOf(choice), 1, WeightVersion(TokenText.versions(text).first()))
         writer.tryWrite(HttpData.ofUtf8("data: ${Jsons.wire.encodeToString(CompletionEvent.serializer(), event)}\n\n"))
-        writer.whenConsumed().await()
+        val consumed = writer.whenConsumed().handle { _, error -> error == null }.await()
+        if (!consumed) currentCoroutineContext().cancel()
     }
 
     private fun order(request: AggregatedHttpRequest): HttpResponse {
--- a/standins/src/main/kotlin/bergamotwall/standins/TrainerStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/TrainerStandIn.kt
@@ -9,26 +9,6 @@
 import java.io.File
 import kotlin.random.Random
 
-/** Settings of the trainer stand-in. */
-public data class TrainerOptions(
-    val name: String,
-    val key: String,
-    val model: String,
-    val entries: List<String>,
-    val publishes: Boolean,
-    val bound: Int,
-    val groups: Int = 4,
-    val n: Int = 6,
-    val enough: Int = 4,
-    val maxTokens: Int = 300,
-    val trainMillis: Long = 300,
-    val runMillis: Long = 10_000,
-    val seed: Long = 1,
-)
-
-/** Result of a trainer's run. */
-public data class TrainerResult(val batches: Int, val idleMillis: Long, val totalMillis: Long, val ages: List<Long>)
-
 /** Stand-in for a trainer: orders batches, checks every sample, trains, publishes the next version. */
 public class TrainerStandIn(private val options: TrainerOptions, folder: File) {
     private val picker = EntryPicker(options.entries, "trainer/${options.name}")
@@ -36,13 +16,13 @@
     private val batches = Records(File(folder, "trainer-${options.name}.jsonl"), BatchRecord.serializer())
     private val published = Records(File(folder, "publish-${options.name}.jsonl"), PublishRecord.serializer())
     private val random = Random(options.seed)
+    private val publishedAtMillis = HashMap<Long, Long>()
     private var version = 0L
 
     /** Runs for the stated time, then until the open batch is taken. */
     public suspend fun run(): TrainerResult {
         val startNanos = System.nanoTime()
-        val ages = ArrayList<Long>()
-        var idleMillis = 0L
+        val steps = ArrayList<TrainerStep>()
         var number = 0L
         if (options.publishes) publish(++version)
         while (millisSince(startNanos) < options.runMillis) {
@@ -52,15 +32,28 @@
             val orderedAtMillis = System.currentTimeMillis()
             val batch = take(number, order)
             val waited = millisSince(orderedNanos)
-            idleMillis += waited
-            ages += batch.samples.map { batch.published.value - it.versions.min().value }
+            steps += step(batch, waited)
             batches.add(record(batch, order, waited, orderedAtMillis))
             delay(options.trainMillis)
             if (options.publishes) publish(++version)
         }
         batches.close()
         published.close()
-        return TrainerResult(number.toInt(), idleMillis, millisSince(startNanos), ages)
+        return TrainerResult(steps, millisSince(startNanos))
+    }
+
+    private fun step(
+        batch: Batch,
+        waitedMillis: Long,
+    ): TrainerStep {
+        val nowMillis = System.currentTimeMillis()
+        val oldest = batch.samples.map { s -> s.versions.min().value }
+        return TrainerStep(
+            waitedMillis = waitedMillis,
+            tokens = batch.samples.sumOf { it.tokens.toLong() },
+            ageVersions = oldest.map { batch.published.value - it },
+            ageMillis = oldest.map { o -> publishedAtMillis[o + 1]?.let { nowMillis - it } ?: 0 },
+        )
     }
 
     private fun order(number: Long): BatchOrder =
@@ -100,6 +93,7 @@
             if (reply.answer == null) picker.failed(address)
             delay(reply.problem?.retryAfterMillis ?: RETRY_MILLIS)
         }
+        publishedAtMillis[next] = System.currentTimeMillis()
         published.add(PublishRecord(options.model, next, System.currentTimeMillis()))
     }
 
--- a/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryKeyValueStore.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryKeyValueStore.kt
@@ -50,6 +50,10 @@
         script += faults
     }
 
+    /** Runs once, right before the next commit takes effect: what another process does in between. */
+    @Volatile
+    public var beforeCommit: (suspend () -> Unit)? = null
+
     override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
         read { state.range(RangeRequest(base64Of(key))).kvs.firstOrNull()?.let(::entryOf) }
 
@@ -59,8 +63,12 @@
             KeyValueListing(answer.kvs.map(::entryOf), answer.header.revision.toLong())
         }
 
-    override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
-        write { outcomeOf(state.txn(txnOf(transaction))) }
+    override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> {
+        val interruption = beforeCommit
+        beforeCommit = null
+        interruption?.invoke()
+        return write { outcomeOf(state.txn(txnOf(transaction))) }
+    }
 
     override suspend fun grantLease(ttlSeconds: Long): Result<LeaseId, KeyValueError> =
         read { LeaseId(state.grant(ttlSeconds)) }
