--- a/bench/src/main/kotlin/bergamotwall/bench/OverloadBench.kt
+++ b/bench/src/main/kotlin/bergamotwall/bench/OverloadBench.kt
@@ -10,9 +10,10 @@
 
     override fun run(options: BenchOptions): BenchResult {
         val perLoad = LOADS.associateWith { ArrayList<Double>() }
-        repeat(
-            options.rounds
-        ) { round -> perLoad.forEach { (load, done) -> done += goodput(load, options.copy(seed = options.seed + round)) } }
+        repeat(options.rounds) { round ->
+            val seeded = options.copy(seed = options.seed + round)
+            perLoad.forEach { (load, done) -> done += goodput(load, seeded) }
+        }
         val atOne = perLoad.getValue(1.0).sorted().let { it[it.size / 2] }
         val figures =
             perLoad.map { (load, done) ->
--- a/entry/src/main/kotlin/bergamotwall/entry/BaselinePermits.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BaselinePermits.kt
@@ -36,10 +36,7 @@
             }
     }
 
-    override fun finish(
-        finished: Finished,
-        prefix: Long,
-    ) {
+    override fun finish(finished: Finished) {
         count(finished.target).decrementAndGet()
     }
 
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
@@ -84,14 +84,14 @@
             )
         }
 
+        override suspend fun pause(problem: Problem) {
+            if (problem.kind !in FATAL) delay(problem.retryAfterMillis ?: RETRY_MILLIS)
+        }
+
         override suspend fun failed(
             number: Int,
             problem: Problem,
-        ): Problem? {
-            if (problem.kind in FATAL) return problem
-            delay(problem.retryAfterMillis ?: RETRY_MILLIS)
-            return null
-        }
+        ): Problem? = problem.takeIf { it.kind in FATAL }
     }
 
     private companion object {
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -183,6 +183,7 @@
         private val writer: HttpResponseWriter
     ) : GroupListener {
         private var started = false
+        private var written = 0
 
         override suspend fun piece(
             number: Int,
@@ -233,10 +234,14 @@
             writer.tryWrite(ResponseHeaders.builder(OK_STATUS).contentType(MediaType.EVENT_STREAM).build())
         }
 
-        /** A caller that went away cancels the run; it is no fault of the target. */
+        /**
+         * Waits for the caller every few pieces only, which bounds what is held for a slow one. A caller that went
+         * away cancels the run; it is no fault of the target.
+         */
         private suspend fun write(data: String) {
             val open = writer.tryWrite(HttpData.ofUtf8("data: $data\n\n"))
-            val consumed = open && writer.whenConsumed().handle { _, error -> error == null }.await()
+            val due = ++written % PIECES_AHEAD == 0
+            val consumed = open && (!due || writer.whenConsumed().handle { _, error -> error == null }.await())
             if (!consumed) {
                 node.metrics.cancelled.labelValues("abandoned").inc()
                 currentCoroutineContext().cancel()
@@ -267,5 +272,6 @@
         private const val DEFAULT_DEADLINE_MILLIS = 60_000L
         private const val MILLIS_PER_SECOND = 1_000L
         private const val OK_STATUS = 200
+        private const val PIECES_AHEAD = 32
     }
 }
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -120,7 +120,7 @@
                 outcome = result.fold({ RunOutcome.WHOLE }, { outcomeOf(it) })
                 return result
             } finally {
-                permits.finish(finished(offer, permit, outcome, attemptMillis), offer.prefix)
+                permits.finish(finished(offer, permit, outcome, attemptMillis))
             }
         }
 
--- a/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
@@ -12,11 +12,13 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 
 /** What becomes of the generations of a group. */
 internal interface GroupListener {
@@ -32,6 +34,9 @@
         generation: Generation,
     ): Boolean
 
+    /** Waits, beside the other generations, before another takes the place of one that failed with [problem]. */
+    suspend fun pause(problem: Problem) {}
+
     /** Generation [number] failed; null if another is to take its place, or the problem that ends the group. */
     suspend fun failed(
         number: Int,
@@ -64,7 +69,7 @@
             }
             apply(tracker.begin(now()))
             while (!tracker.complete) {
-                val end = withTimeoutOrNull(TICK_MILLIS) { ended.receive() }
+                val end = receiveOrTick(ended)
                 if (end == null) {
                     apply(tracker.tick(now()))
                 } else {
@@ -79,11 +84,23 @@
             Ok(Unit)
         }
 
+    /** The next ended generation, or null after a tick. A select takes or leaves; a timeout around receive can lose. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun receiveOrTick(ended: Channel<Ended>): Ended? =
+        select {
+            ended.onReceive { it }
+            onTimeout(TICK_MILLIS) { null }
+        }
+
     private suspend fun generate(
         order: GenerationOrder,
         number: Int,
         listener: GroupListener,
-    ): Result<Generation, Problem> = runner.run(order) { listener.piece(number, it) }
+    ): Result<Generation, Problem> {
+        val result = runner.run(order) { listener.piece(number, it) }
+        if (result.isErr) listener.pause(result.error)
+        return result
+    }
 
     private suspend fun settle(
         end: Ended,
--- a/entry/src/main/kotlin/bergamotwall/entry/PermitSource.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/PermitSource.kt
@@ -15,8 +15,5 @@
     ): Result<Granted, Problem>
 
     /** Returns a permit. Goes on in the background, so that a cancelled request returns it too. */
-    fun finish(
-        finished: Finished,
-        prefix: Long,
-    )
+    fun finish(finished: Finished)
 }
--- a/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Permits.kt
@@ -3,11 +3,13 @@
 import bergamotwall.decisions.backoffMillis
 import bergamotwall.model.Finished
 import bergamotwall.model.Granted
+import bergamotwall.model.Member
 import bergamotwall.model.Offer
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
+import bergamotwall.model.RequestId
 import bergamotwall.model.Withdraw
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
@@ -18,13 +20,16 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import java.util.concurrent.ConcurrentHashMap
 
-/** Gets permits from the owner of the shard, wherever that is. */
+/** Gets permits from the owner of the shard, wherever that is; each returns to the entry that granted it. */
 internal class Permits(
     private val node: Node,
     private val fleet: FleetView,
     private val hub: DispatchHub,
 ) : PermitSource {
+    private val grantedBy = ConcurrentHashMap<RequestId, Member>()
+
     override suspend fun acquire(
         offer: Offer,
         trace: String?,
@@ -46,11 +51,17 @@
         return result
     }
 
-    override fun finish(
-        finished: Finished,
-        prefix: Long,
-    ) {
-        node.scope.launch { tell(finished.serves, prefix, finished) }
+    override fun finish(finished: Finished) {
+        val owner = grantedBy.remove(finished.request)
+        node.scope.launch {
+            if (owner == null) {
+                hub.finished(
+                    finished
+                )
+            } else {
+                node.peers.ask(owner.peerAddress, finished, TELL_TIMEOUT_MILLIS)
+            }
+        }
     }
 
     private suspend fun ask(
@@ -63,6 +74,7 @@
         try {
             val answer = node.peers.ask(owner.peerAddress, offer, offer.deadlineInMillis, trace).get()
             answered = true
+            if (answer is Granted) grantedBy[offer.request] = owner
             return answer
         } finally {
             if (!answered) withContext(NonCancellable) { withdraw(offer, owner.peerAddress) }
@@ -76,19 +88,6 @@
         node.scope.launch { node.peers.ask(address, Withdraw(offer.request), TELL_TIMEOUT_MILLIS) }
     }
 
-    private suspend fun tell(
-        serves: String,
-        prefix: Long,
-        message: Finished,
-    ) {
-        val owner = ownerOf(serves, prefix)
-        if (owner == null || owner.id == node.id) {
-            hub.finished(message)
-        } else {
-            node.peers.ask(owner.peerAddress, message, TELL_TIMEOUT_MILLIS)
-        }
-    }
-
     private fun ownerOf(
         serves: String,
         prefix: Long,
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -92,7 +92,7 @@
             outcome = result.fold({ RunOutcome.WHOLE }, { outcomeOf(it) })
             return result
         } finally {
-            permits.finish(finished(offer, permit, outcome, node.clock.monotonicMillis() - startedMillis), offer.prefix)
+            permits.finish(finished(offer, permit, outcome, node.clock.monotonicMillis() - startedMillis))
         }
     }
 
--- a/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
@@ -89,10 +89,7 @@
         return Ok(Granted(TargetId(target), target))
     }
 
-    override fun finish(
-        finished: Finished,
-        prefix: Long,
-    ) {
+    override fun finish(finished: Finished) {
         this.finished += finished
     }
 }
--- /dev/null
+++ b/entry/src/test/kotlin/bergamotwall/entry/GroupRunnerTest.kt
@@ -0,0 +1,46 @@
+package bergamotwall.entry
+
+import bergamotwall.decisions.TailEstimator
+import bergamotwall.model.GroupSpec
+import bergamotwall.model.Problem
+import bergamotwall.standins.fakes.ManualClock
+import bergamotwall.standins.fakes.MemoryKeyValueStore
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.seconds
+
+internal class GroupRunnerTest {
+    /** Generations that end in the very moment of a tick must not be lost, or the group would never end. */
+    @ParameterizedTest(name = "generations of {0} ms")
+    @ValueSource(longs = [1, 49, 50, 51, 100, 150, 1_000])
+    fun `every ended generation counts, whenever it ends`(durationMillis: Long) =
+        runTest(timeout = 20.seconds) {
+            val node = entryNode("a", MemoryKeyValueStore(ManualClock()))
+            val engines = VersionedEngines({ 1 }) { delay(durationMillis) }
+            val groups = GroupRunner(node, GenerationRunner(node, FakePermits(listOf("e")), engines, Budgets()))
+            val listener = Counting()
+            val spec = GroupSpec("p", n = 3, enough = 3, maxTokens = 5)
+            val result = groups.run("g", spec, TailEstimator(), { generationOrder(node) }, listener)
+            expectThat(result.isOk).isTrue()
+            expectThat(listener.whole).isEqualTo(3)
+        }
+
+    private class Counting : GroupListener {
+        var whole = 0
+
+        override suspend fun whole(
+            number: Int,
+            generation: Generation,
+        ): Boolean = true.also { whole++ }
+
+        override suspend fun failed(
+            number: Int,
+            problem: Problem,
+        ): Problem = problem
+    }
+}
--- a/runtime/src/main/kotlin/bergamotwall/runtime/MemberLoop.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/MemberLoop.kt
@@ -41,6 +41,7 @@
     private val membership =
         Membership(self, MembershipTiming(periodMillis * SUSPICION_PERIODS, FORGET_MILLIS), random)
     private val gossiper = Gossiper(membership, parts)
+    private var stopping = false
 
     /** Starts probing in [scope]. */
     public fun start(scope: CoroutineScope) {
@@ -56,6 +57,7 @@
     /** Announces that this process takes no new work, to those it probes next. */
     public suspend fun leave(): Unit =
         withContext(confined) {
+            stopping = true
             membership.self.leave()
             gossiper.publish()
         }
@@ -80,7 +82,8 @@
     private fun tick(): List<MembershipAction.Probe> {
         val nodes = parts.board.vmList.read().vms.filter { it.role == VmRole.NODE && !it.leaving }
         membership.seed(seeds + nodes.map { it.address })
-        if (parts.board.configuration.read().drains(membership.self.member.id.value)) membership.self.leave()
+        val drained = parts.board.configuration.read().drains(membership.self.member.id.value)
+        if (drained || stopping) membership.self.leave() else membership.self.rejoin()
         val actions = membership.tick(parts.clock.monotonicMillis())
         gossiper.publish()
         return actions.filterIsInstance<MembershipAction.Probe>()
