Bound the calls to the key-value service

Change: only the first three live controllers by hashing try for a duty; a receipt writer commits at most once in 50 ms. The cancel bench aborted its streams and could stand still; it now reads them to their end. The overhead bench warms up longer. Fleets of the benches close in parallel.

--- a/bench/src/main/kotlin/bergamotwall/bench/CancelBench.kt
+++ b/bench/src/main/kotlin/bergamotwall/bench/CancelBench.kt
@@ -3,7 +3,7 @@
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.HttpResponse
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.reactive.awaitFirst
+import kotlinx.coroutines.reactive.collect
 import kotlinx.coroutines.runBlocking
 
 /** Time from enough samples to the slot's next first token, over the round trip of a request through an entry. */
@@ -63,8 +63,9 @@
 
     private fun firstData(response: HttpResponse): Long =
         runBlocking(Dispatchers.Default) {
-            response.split().body().awaitFirst()
-            System.nanoTime().also { response.abort() }
+            var first = 0L
+            response.split().body().collect { if (first == 0L) first = System.nanoTime() }
+            first
         }
 
     private fun roundTripMicros(entry: String): Long {
--- a/bench/src/main/kotlin/bergamotwall/bench/LocalFleet.kt
+++ b/bench/src/main/kotlin/bergamotwall/bench/LocalFleet.kt
@@ -85,10 +85,8 @@
     }
 
     override fun close() {
-        nodes.forEach { it.halt() }
-        engines.forEach { it.close() }
-        services.forEach { it.close() }
-        listOf(vms, weights, keyValue).forEach { it.close() }
+        nodes.parallelStream().forEach { it.halt() }
+        (engines + services + listOf(vms, weights, keyValue)).parallelStream().forEach { it.close() }
         folder.deleteRecursively()
     }
 
--- a/bench/src/main/kotlin/bergamotwall/bench/OverheadBench.kt
+++ b/bench/src/main/kotlin/bergamotwall/bench/OverheadBench.kt
@@ -22,7 +22,9 @@
             val direct = "127.0.0.1:${fleet.engines.first().port}"
             val entry = fleet.entries.first()
             repeat(WARM_UP) { listOf(direct, entry).forEach { address -> call(address, SHORT, stream = false) } }
-            repeat(WARM_UP) { listOf(direct, entry).forEach { address -> call(address, TOKENS, stream = true) } }
+            repeat(
+                WARM_UP_STREAMS
+            ) { listOf(direct, entry).forEach { address -> call(address, TOKENS, stream = true) } }
             val rounds = List(options.rounds) { round(direct, entry) }
             BenchResult(name, figures(rounds))
         }
@@ -84,7 +86,8 @@
         private const val TARGET_MICROS = 1_000.0
         private const val TOKENS = 400
         private const val SHORT = 4
-        private const val WARM_UP = 300
+        private const val WARM_UP = 3_000
+        private const val WARM_UP_STREAMS = 200
         private const val CALLS = 500
         private const val STREAMS = 100
         private const val MEDIAN = 50.0
--- /dev/null
+++ b/controller/src/main/kotlin/bergamotwall/controller/Candidates.kt
@@ -0,0 +1,21 @@
+package bergamotwall.controller
+
+import bergamotwall.decisions.hashOf
+import bergamotwall.model.MemberState
+import bergamotwall.model.NodeRole
+import bergamotwall.runtime.Node
+
+/**
+ * Whether this controller is among the first [count] live ones for [purpose], by rendezvous hashing.
+ *
+ * Only those call the key-value service for it, so that the rate of calls does not grow with the fleet.
+ */
+internal fun Node.isCandidate(
+    purpose: String,
+    count: Int,
+): Boolean {
+    val members = board.members.read()
+    val controllers = members.filter { it.role == NodeRole.CONTROLLER && it.state == MemberState.ALIVE }
+    val first = controllers.sortedByDescending { hashOf("$purpose@${it.id.value}") }.take(count)
+    return first.any { it.id == id }
+}
--- a/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
@@ -51,7 +51,7 @@
         val keeping =
             node.scope.launch {
                 while (true) {
-                    duty.step()
+                    if (duty.holding != null || node.isCandidate(duty.name, CANDIDATES)) duty.step()
                     delay(if (duty.mayAct()) KEEP_MILLIS else node.random.nextLong(KEEP_MILLIS, ACQUIRE_MILLIS))
                 }
             }
@@ -66,6 +66,7 @@
     }
 
     private companion object {
+        private const val CANDIDATES = 3
         private const val REFRESH_MILLIS = 500L
         private const val KEEP_MILLIS = 300L
         private const val ACQUIRE_MILLIS = 1_500L
--- a/controller/src/main/kotlin/bergamotwall/controller/Relay.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Relay.kt
@@ -1,8 +1,5 @@
 package bergamotwall.controller
 
-import bergamotwall.decisions.hashOf
-import bergamotwall.model.MemberState
-import bergamotwall.model.NodeRole
 import bergamotwall.platform.VmListSource
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.onSuccess
@@ -29,12 +26,7 @@
     }
 
     /** Whether this controller is a relay now. */
-    fun isRelay(): Boolean {
-        val members = node.board.members.read()
-        val controllers = members.filter { it.role == NodeRole.CONTROLLER && it.state == MemberState.ALIVE }
-        val chosen = controllers.sortedByDescending { hashOf("relay@${it.id.value}") }.take(RELAYS)
-        return chosen.any { it.id == node.settings.id }
-    }
+    fun isRelay(): Boolean = node.isCandidate("relay", RELAYS)
 
     private suspend fun step() {
         if (isRelay()) {
--- a/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
@@ -22,17 +22,19 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
 /**
- * Writes receipts to the key-value service, many in one transaction (group commit).
+ * Writes receipts to the key-value service, many in one transaction (group commit), and at most one transaction every
+ * [COMMIT_INTERVAL_MILLIS], so that the rate of writes is bounded by the number of shards.
  *
  * A reservation is put only if its key is absent, so two writers of one shard, or one that wakes after a pause, can
  * never both reserve. Receipts go when the lease that they were written under does, after [retentionSeconds].
  */
 internal class ReceiptWriter(
     private val store: KeyValueStore,
-    clock: Clock,
+    private val clock: Clock,
     retentionSeconds: Long = RETENTION_SECONDS,
 ) {
     private class Pending(val key: String, val receipt: Receipt, val reserve: Boolean) {
@@ -44,7 +46,12 @@
 
     fun start(scope: CoroutineScope) {
         scope.launch {
-            while (true) commit(nextBatch())
+            while (true) {
+                val batch = nextBatch()
+                val startedMillis = clock.monotonicMillis()
+                commit(batch)
+                delay(startedMillis + COMMIT_INTERVAL_MILLIS - clock.monotonicMillis())
+            }
         }
     }
 
@@ -143,6 +150,7 @@
 
     private companion object {
         private const val RETENTION_SECONDS = 3_600L
+        private const val COMMIT_INTERVAL_MILLIS = 50L
         private const val QUEUE_LENGTH = 4_096
         private const val MAX_BATCH = 50
     }
