--- a/bench/src/main/kotlin/bergamotwall/bench/ControlBench.kt
+++ b/bench/src/main/kotlin/bergamotwall/bench/ControlBench.kt
@@ -102,7 +102,7 @@
                     heapMegabytes = (heapBytes() - heapBefore) / MEGABYTE / count,
                     callsPerSecond = (keyValue.calls.let { it.reads + it.writes + it.watches } - calls) / seconds,
                 )
-            nodes.forEach { it.halt() }
+            nodes.parallelStream().forEach { it.halt() }
             cost
         }
     }
