Build the return of a permit in one place

Cause: services and generations each built the same message; reading the change again showed it. Change: finishedOf builds it, streams copy in what they know more.

--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -192,17 +192,8 @@
             outcome: RunOutcome,
             attemptMillis: Long,
         ): Finished =
-            Finished(
-                request = offer.request,
-                serves = offer.serves,
-                target = permit.target,
-                fingerprint = offer.fingerprint,
-                outcome = outcome,
-                firstTokenMillis = firstTokenMillis,
-                durationMillis = node.clock.monotonicMillis() - attemptMillis,
-                tokens = tokens,
-                versions = versions.toList(),
-            )
+            finishedOf(offer, permit, outcome, node.clock.monotonicMillis() - attemptMillis)
+                .copy(firstTokenMillis = firstTokenMillis, tokens = tokens, versions = versions.toList())
 
         private fun whole(): Generation {
             journal(
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -3,7 +3,6 @@
 import bergamotwall.decisions.FailedAttempt
 import bergamotwall.decisions.RetryDecision
 import bergamotwall.decisions.decideRetry
-import bergamotwall.model.Finished
 import bergamotwall.model.Granted
 import bergamotwall.model.Offer
 import bergamotwall.model.Problem
@@ -92,7 +91,7 @@
             outcome = result.fold({ RunOutcome.WHOLE }, { outcomeOf(it) })
             return result
         } finally {
-            permits.finish(finished(offer, permit, outcome, node.clock.monotonicMillis() - startedMillis))
+            permits.finish(finishedOf(offer, permit, outcome, node.clock.monotonicMillis() - startedMillis))
         }
     }
 
@@ -117,24 +116,6 @@
             dataCentre = node.settings.dataCentre,
         )
 
-    private fun finished(
-        offer: Offer,
-        permit: Granted,
-        outcome: RunOutcome,
-        durationMillis: Long,
-    ): Finished =
-        Finished(
-            request = offer.request,
-            serves = offer.serves,
-            target = permit.target,
-            fingerprint = offer.fingerprint,
-            outcome = outcome,
-            firstTokenMillis = durationMillis,
-            durationMillis = durationMillis,
-            tokens = 1,
-            versions = emptyList(),
-        )
-
     private companion object {
         private const val RETRY_AFTER_MILLIS = 1_000L
     }
