--- a/controller/src/main/kotlin/bergamotwall/controller/Controller.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Controller.kt
@@ -5,9 +5,9 @@
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.Settings
 import bergamotwall.model.StatusQuery
-import bergamotwall.platform.http.EngineDriver
-import bergamotwall.platform.http.VmListSource
-import bergamotwall.platform.http.targetClient
+import bergamotwall.drivers.http.EngineDriver
+import bergamotwall.drivers.http.VmListSource
+import bergamotwall.drivers.http.targetClient
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.aggregatedService
 import bergamotwall.runtime.runNode
--- a/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
@@ -1,7 +1,8 @@
 package bergamotwall.controller
 
+import bergamotwall.runtime.Duty
 import bergamotwall.model.ModelName
-import bergamotwall.platform.EngineDriver
+import bergamotwall.drivers.EngineDriver
 import bergamotwall.runtime.Node
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
--- a/controller/src/main/kotlin/bergamotwall/controller/Plans.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Plans.kt
@@ -14,7 +14,7 @@
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.RunState
-import bergamotwall.platform.KeyValueError
+import bergamotwall.drivers.KeyValueError
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/controller/src/main/kotlin/bergamotwall/controller/Relay.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Relay.kt
@@ -1,6 +1,6 @@
 package bergamotwall.controller
 
-import bergamotwall.platform.VmListSource
+import bergamotwall.drivers.VmListSource
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.CancellationException
--- a/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
@@ -1,5 +1,6 @@
 package bergamotwall.controller
 
+import bergamotwall.runtime.Duty
 import bergamotwall.decisions.RolloutGoal
 import bergamotwall.decisions.RolloutReplica
 import bergamotwall.decisions.decideRollout
@@ -9,7 +10,7 @@
 import bergamotwall.model.Vm
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EngineDriver
+import bergamotwall.drivers.EngineDriver
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.SharedKeys
--- a/controller/src/test/kotlin/bergamotwall/controller/DutyTest.kt
+++ b/controller/src/test/kotlin/bergamotwall/controller/DutyTest.kt
@@ -1,5 +1,6 @@
 package bergamotwall.controller
 
+import bergamotwall.runtime.Duty
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Journal
 import bergamotwall.standins.fakes.CallFault
--- a/controller/src/test/kotlin/bergamotwall/controller/RolloutTest.kt
+++ b/controller/src/test/kotlin/bergamotwall/controller/RolloutTest.kt
@@ -1,5 +1,6 @@
 package bergamotwall.controller
 
+import bergamotwall.runtime.Duty
 import bergamotwall.model.Configuration
 import bergamotwall.model.DataCentre
 import bergamotwall.model.ModelIntent
@@ -14,10 +15,10 @@
 import bergamotwall.model.VmRole
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EngineDriver
-import bergamotwall.platform.EnginePiece
-import bergamotwall.platform.EngineRequest
-import bergamotwall.platform.TargetError
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.NodeDrivers
 import bergamotwall.standins.fakes.ManualClock
--- a/platform/src/main/kotlin/bergamotwall/platform/EnginePiece.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/EnginePiece.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 import bergamotwall.model.WeightVersion
 
--- a/platform/src/main/kotlin/bergamotwall/platform/EngineRequest.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/EngineRequest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** One generation. [resumeFrom] is text that was generated before, to go on from; [trace] is a W3C `traceparent`. */
 public data class EngineRequest(
--- a/platform/src/main/kotlin/bergamotwall/platform/KeyValueEntry.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/KeyValueEntry.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** One entry; [modRevision] is that of its last write, [createRevision] that of its creation. */
 public data class KeyValueEntry(
--- a/platform/src/main/kotlin/bergamotwall/platform/KeyValueError.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/KeyValueError.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** Why a call to the key-value service failed. */
 public sealed interface KeyValueError {
@@ -13,4 +13,7 @@
 
     /** The lease has lapsed. */
     public data class LeaseGone(override val detail: String) : KeyValueError
+
+    /** The changes asked for are no longer kept. */
+    public data class HistoryGone(override val detail: String) : KeyValueError
 }
--- a/platform/src/main/kotlin/bergamotwall/platform/KeyValueStore.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/KeyValueStore.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.flow.Flow
--- a/platform/src/main/kotlin/bergamotwall/platform/LeaseId.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/LeaseId.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** Identity of a lease in the key-value service. */
 @JvmInline
--- a/platform/src/main/kotlin/bergamotwall/platform/ServiceRequest.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/ServiceRequest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** Request to a plain service. [key] is its idempotency key; [trace] is a W3C `traceparent`. */
 public data class ServiceRequest(
--- a/platform/src/main/kotlin/bergamotwall/platform/TargetError.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/TargetError.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** Why a call to a target, or to a plain platform service, failed. */
 public sealed interface TargetError {
--- a/platform/src/main/kotlin/bergamotwall/platform/Transaction.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/Transaction.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
 /** If all [conditions] hold, does all [writes]; otherwise reads the keys of [orElseRead]. */
 public data class Transaction(
--- a/platform/src/main/kotlin/bergamotwall/platform/etcd/EtcdConversions.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdConversions.kt
@@ -1,10 +1,10 @@
-package bergamotwall.platform.etcd
+package bergamotwall.drivers.etcd
 
-import bergamotwall.platform.Condition
-import bergamotwall.platform.KeyValueEntry
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
-import bergamotwall.platform.Write
+import bergamotwall.drivers.Condition
+import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.Write
 import com.github.michaelbull.result.map
 import java.util.Base64
 
--- a/platform/src/main/kotlin/bergamotwall/platform/etcd/EtcdKeyValueStore.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
@@ -1,13 +1,13 @@
-package bergamotwall.platform.etcd
+package bergamotwall.drivers.etcd
 
 import bergamotwall.model.Jsons
-import bergamotwall.platform.KeyValueEntry
-import bergamotwall.platform.KeyValueError
-import bergamotwall.platform.KeyValueListing
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.LeaseId
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
+import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.KeyValueListing
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.LeaseId
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.TransactionOutcome
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/platform/src/main/kotlin/bergamotwall/platform/etcd/EtcdMessages.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdMessages.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform.etcd
+package bergamotwall.drivers.etcd
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/platform/src/main/kotlin/bergamotwall/platform/etcd/LineBuffer.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/LineBuffer.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform.etcd
+package bergamotwall.drivers.etcd
 
 /** Cuts a stream of text pieces into lines. Not thread-safe. */
 public class LineBuffer {
--- a/platform/src/main/kotlin/bergamotwall/platform/http/CompletionMessages.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/CompletionMessages.kt
@@ -1,7 +1,7 @@
-package bergamotwall.platform.http
+package bergamotwall.drivers.http
 
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EnginePiece
+import bergamotwall.drivers.EnginePiece
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/platform/src/main/kotlin/bergamotwall/platform/http/EventBuffer.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/EventBuffer.kt
@@ -1,6 +1,6 @@
-package bergamotwall.platform.http
+package bergamotwall.drivers.http
 
-import bergamotwall.platform.etcd.LineBuffer
+import bergamotwall.drivers.etcd.LineBuffer
 
 /** Data of server-sent events, cut from a stream of text pieces. Not thread-safe. */
 public class EventBuffer {
--- a/platform/src/main/kotlin/bergamotwall/platform/http/HttpCalls.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
@@ -1,7 +1,7 @@
-package bergamotwall.platform.http
+package bergamotwall.drivers.http
 
 import bergamotwall.model.Jsons
-import bergamotwall.platform.TargetError
+import bergamotwall.drivers.TargetError
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/platform/src/main/kotlin/bergamotwall/platform/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -1,17 +1,17 @@
-package bergamotwall.platform.http
+package bergamotwall.drivers.http
 
 import bergamotwall.model.Jsons
 import bergamotwall.model.TargetReport
 import bergamotwall.model.VmList
 import bergamotwall.model.WeightOrder
-import bergamotwall.platform.EngineDriver
-import bergamotwall.platform.EnginePiece
-import bergamotwall.platform.EngineRequest
-import bergamotwall.platform.ServiceAnswer
-import bergamotwall.platform.ServiceDriver
-import bergamotwall.platform.ServiceRequest
-import bergamotwall.platform.TargetError
-import bergamotwall.platform.VmListSource
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.ServiceAnswer
+import bergamotwall.drivers.ServiceDriver
+import bergamotwall.drivers.ServiceRequest
+import bergamotwall.drivers.TargetError
+import bergamotwall.drivers.VmListSource
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/platform/src/test/kotlin/bergamotwall/platform/BuffersTest.kt
+++ b/drivers/src/test/kotlin/bergamotwall/drivers/BuffersTest.kt
@@ -1,7 +1,7 @@
-package bergamotwall.platform
+package bergamotwall.drivers
 
-import bergamotwall.platform.etcd.LineBuffer
-import bergamotwall.platform.http.EventBuffer
+import bergamotwall.drivers.etcd.LineBuffer
+import bergamotwall.drivers.http.EventBuffer
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
@@ -14,7 +14,7 @@
 import bergamotwall.model.Sample
 import bergamotwall.model.TrainerIntent
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.KeyValueError
+import bergamotwall.drivers.KeyValueError
 import bergamotwall.runtime.Decision
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -10,7 +10,7 @@
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.RequestId
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EnginePiece
+import bergamotwall.drivers.EnginePiece
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.jsonResponse
 import bergamotwall.runtime.problemResponse
--- a/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
@@ -12,9 +12,9 @@
 import bergamotwall.model.Settings
 import bergamotwall.model.StatusQuery
 import bergamotwall.model.Withdraw
-import bergamotwall.platform.http.EngineDriver
-import bergamotwall.platform.http.ServiceDriver
-import bergamotwall.platform.http.targetClient
+import bergamotwall.drivers.http.EngineDriver
+import bergamotwall.drivers.http.ServiceDriver
+import bergamotwall.drivers.http.targetClient
 import bergamotwall.runtime.AggregatedHandler
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.aggregatedService
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -15,10 +15,10 @@
 import bergamotwall.model.RunState
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EngineDriver
-import bergamotwall.platform.EnginePiece
-import bergamotwall.platform.EngineRequest
-import bergamotwall.platform.TargetError
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
@@ -5,7 +5,7 @@
 import bergamotwall.decisions.TailEstimator
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Problem
-import bergamotwall.platform.EnginePiece
+import bergamotwall.drivers.EnginePiece
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/entry/src/main/kotlin/bergamotwall/entry/LeaseBucket.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/LeaseBucket.kt
@@ -1,7 +1,7 @@
 package bergamotwall.entry
 
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.LeaseId
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.LeaseId
 import bergamotwall.runtime.Clock
 import com.github.michaelbull.result.get
 
--- a/entry/src/main/kotlin/bergamotwall/entry/ReceiptTakeOver.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptTakeOver.kt
@@ -2,11 +2,11 @@
 
 import bergamotwall.model.Jsons
 import bergamotwall.model.Receipt
-import bergamotwall.platform.Condition
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
-import bergamotwall.platform.Write
+import bergamotwall.drivers.Condition
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.Write
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.get
 
--- a/entry/src/main/kotlin/bergamotwall/entry/ReportPoller.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReportPoller.kt
@@ -2,7 +2,7 @@
 
 import bergamotwall.decisions.DispatchEvent
 import bergamotwall.decisions.DispatchTarget
-import bergamotwall.platform.EngineDriver
+import bergamotwall.drivers.EngineDriver
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceApi.kt
@@ -6,7 +6,7 @@
 import bergamotwall.model.Receipt
 import bergamotwall.model.ReceiptPhase
 import bergamotwall.model.RunState
-import bergamotwall.platform.ServiceAnswer
+import bergamotwall.drivers.ServiceAnswer
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.problemResponse
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceCall.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceCall.kt
@@ -4,7 +4,7 @@
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.PriorityClass
 import bergamotwall.model.RequestId
-import bergamotwall.platform.ServiceRequest
+import bergamotwall.drivers.ServiceRequest
 
 /** A checked call of a plain service. [key] recognises it when it is sent again. */
 internal data class ServiceCall(
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceCallReader.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceCallReader.kt
@@ -6,7 +6,7 @@
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.RequestId
 import bergamotwall.model.ServiceName
-import bergamotwall.platform.ServiceRequest
+import bergamotwall.drivers.ServiceRequest
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.binding
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -10,9 +10,9 @@
 import bergamotwall.model.RunOutcome
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.ServiceAnswer
-import bergamotwall.platform.ServiceDriver
-import bergamotwall.platform.TargetError
+import bergamotwall.drivers.ServiceAnswer
+import bergamotwall.drivers.ServiceDriver
+import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
@@ -16,8 +16,8 @@
 import bergamotwall.model.Sample
 import bergamotwall.model.SamplesFound
 import bergamotwall.model.StoreSample
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.Write
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.Write
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.SharedKeys
 import bergamotwall.standins.fakes.CallFault
--- a/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
@@ -25,11 +25,11 @@
 import bergamotwall.model.TrainerName
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EngineDriver
-import bergamotwall.platform.EnginePiece
-import bergamotwall.platform.EngineRequest
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.TargetError
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.NodeDrivers
--- a/entry/src/test/kotlin/bergamotwall/entry/VersionedEngines.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/VersionedEngines.kt
@@ -3,10 +3,10 @@
 import bergamotwall.model.TargetReport
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.EngineDriver
-import bergamotwall.platform.EnginePiece
-import bergamotwall.platform.EngineRequest
-import bergamotwall.platform.TargetError
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.TargetError
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -0,0 +1,178 @@
+package bergamotwall.gateway
+
+import bergamotwall.gateway.batches.BatchParts
+import bergamotwall.gateway.batches.Batches
+import bergamotwall.gateway.forwarding.ForwardParts
+import bergamotwall.gateway.forwarding.Forwarder
+import bergamotwall.gateway.members.GatewayMember
+import bergamotwall.gateway.members.Registration
+import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.weights.WeightRollout
+import bergamotwall.model.Alive
+import bergamotwall.model.BatchId
+import bergamotwall.model.CheckAlive
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.PeerRefusal
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.peers.PeerHandler
+import bergamotwall.peers.PeerServer
+import bergamotwall.runtime.Decision
+import bergamotwall.runtime.Duty
+import bergamotwall.runtime.Journal
+import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.tinylog.Logger
+import kotlin.random.Random
+
+/** One process of the gateway: follows the key-value service, forwards requests, runs batches, orders weights. */
+public class Gateway(
+    public val settings: GatewaySettings,
+    private val drivers: GatewayDrivers,
+    group: EventLoopGroup,
+) {
+    private val incarnation = drivers.clock.wallMillis()
+    private val loop = group.next().asCoroutineDispatcher()
+
+    /** Scope of all work of the process. */
+    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + group.asCoroutineDispatcher())
+
+    /** What the process knows. */
+    public val board: GatewayBoard = GatewayBoard()
+
+    /** Its decisions. */
+    public val journal: Journal = Journal(settings.id, drivers.clock)
+
+    private val random = Random(incarnation xor settings.id.value.hashCode().toLong())
+    private val loads = TargetLoads()
+
+    @Volatile
+    private var leaving = false
+
+    /** Whether the process serves callers: it knows routes and targets, and is not leaving. */
+    public val ready: Boolean get() = !leaving && board.routes.read().known && following.targetsKnown
+
+    /** Serves callers' requests. */
+    public val forwarder: Forwarder =
+        Forwarder(
+            ForwardParts(
+                board,
+                drivers.client,
+                drivers.protocol,
+                loads,
+                drivers.clock,
+                random,
+                journal,
+                settings.dataCentre,
+            ),
+            settings.forward,
+        )
+
+    /** Serves batches. */
+    public val batches: Batches =
+        Batches(
+            BatchParts(
+                ::self,
+                board,
+                drivers.store,
+                drivers.peers,
+                drivers.client,
+                drivers.protocol,
+                loads,
+                drivers.clock,
+                random,
+                journal,
+            ),
+            settings.batches,
+            scope,
+            loop,
+        )
+    private val registration = Registration(drivers.store, drivers.clock, settings.leaseTtlSeconds, ::self)
+    private val following = Following(settings, drivers, board, loads) { section -> changed(section) }
+    private val weights =
+        WeightRollout(
+            settings.id,
+            board,
+            Duty(
+                "weights",
+                settings.id,
+                drivers.store,
+                drivers.clock,
+                journal,
+                settings.weights.leaseTtlSeconds,
+                GatewayKeys.WEIGHT_DUTY,
+            ),
+            drivers.orders,
+            drivers.clock,
+            journal,
+            settings.weights,
+        )
+    private var peerServer: PeerServer? = null
+
+    /** Starts all work. */
+    public fun start() {
+        peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> answer(message) })
+        following.start(scope)
+        registration.start(scope)
+        weights.start(CoroutineScope(scope.coroutineContext + loop)) { settings.frontAddress != null && following.dutyIsFree }
+        Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
+    }
+
+    /** Takes no new work from now on, and lets the others know. Requests in flight go on. */
+    public suspend fun leave() {
+        leaving = true
+        Logger.info("event=leaving id={}", settings.id.value)
+        weights.release()
+        batches.release()
+        registration.end()
+    }
+
+    /** Records that a call about [batch] was refused as malformed. */
+    public fun refused(
+        batch: BatchId?,
+        reason: String,
+    ): Unit = journal.record(Decision("batch/${batch?.value.orEmpty()}", "refused", "not a valid batch", reason))
+
+    /** Ends all work. */
+    public fun stop() {
+        scope.cancel()
+        peerServer?.close()
+        drivers.peers.close()
+        drivers.client.close()
+        Logger.info("event=stopped id={}", settings.id.value)
+    }
+
+    private fun self(): GatewayMember =
+        GatewayMember(
+            id = settings.id,
+            incarnation = incarnation,
+            dataCentre = settings.dataCentre,
+            peerAddress = settings.peerAddress,
+            frontAddress = settings.frontAddress,
+            ready = ready,
+        )
+
+    private fun changed(section: FollowedSection) {
+        registration.changed()
+        scope.launch {
+            when (section) {
+                FollowedSection.ROUTES -> batches.routesChanged()
+                FollowedSection.TARGETS -> batches.targetsChanged()
+                FollowedSection.MEMBERS -> if (ready) batches.adoptOrphans()
+            }
+        }
+    }
+
+    private suspend fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is CheckAlive -> Alive(if (leaving) 0 else incarnation)
+            else ->
+                batches.answer(message)
+                    ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
+        }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayBoard.kt
@@ -0,0 +1,23 @@
+package bergamotwall.gateway
+
+import bergamotwall.gateway.members.MemberList
+import bergamotwall.gateway.routes.RouteTable
+import bergamotwall.gateway.targets.TargetList
+import bergamotwall.model.ModelName
+import bergamotwall.model.WeightVersion
+import bergamotwall.runtime.Section
+
+/** What a process of the gateway knows. Followers write a section each; the path of a request reads snapshots. */
+public class GatewayBoard {
+    /** Routes in force. */
+    public val routes: Section<RouteTable> = Section(RouteTable())
+
+    /** Registered targets. */
+    public val targets: Section<TargetList> = Section(TargetList())
+
+    /** Registered processes of the gateway, this one included. */
+    public val members: Section<MemberList> = Section(MemberList())
+
+    /** Newest version that trainers named, by model. */
+    public val named: Section<Map<ModelName, WeightVersion>> = Section(emptyMap())
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -0,0 +1,22 @@
+package bergamotwall.gateway.batches
+
+import kotlinx.serialization.Serializable
+
+/** Bounds of the work on batches; times in milliseconds, sizes in characters. */
+@Serializable
+public data class BatchSettings(
+    /** A batch that could not be made durable by then is refused; the trainer's target for the answer is half a second. */
+    val acceptMillis: Long = 3_000,
+    /** An engine pauses for about a second to load weights; one that is silent for longer is taken for gone. */
+    val silenceMillis: Long = 2_500,
+    /** Results that end within this time share one call to the key-value service; a trainer reads twice a second. */
+    val gatherMillis: Long = 250,
+    /** The key-value service holds values of up to a megabyte; base64 and JSON escapes need room. */
+    val partChars: Int = 400_000,
+    /** A page of results has at most a megabyte. */
+    val pageChars: Int = 600_000,
+    /** A process that does not answer a peer in this time is asked through the key-value service instead. */
+    val peerTimeoutMillis: Long = 700,
+    /** How long a batch stays readable after it ended. */
+    val keepMillis: Long = 150_000,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
@@ -0,0 +1,22 @@
+package bergamotwall.gateway.batches
+
+/** How one attempt to run an item ended. */
+internal sealed interface ItemOutcome {
+    /** The whole text is held. */
+    data object Whole : ItemOutcome
+
+    /** The target answered that the run failed. */
+    data object ErrorAnswer : ItemOutcome
+
+    /** The target answered that the item can never be done. */
+    data object Impossible : ItemOutcome
+
+    /** The target did not run it. */
+    data class NotRun(val reason: String) : ItemOutcome
+
+    /** The run broke off; the text so far is held. */
+    data class Broken(val reason: String) : ItemOutcome
+
+    /** The batch does not want the item any more. */
+    data object Cancelled : ItemOutcome
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -0,0 +1,119 @@
+package bergamotwall.gateway.batches
+
+import bergamotwall.gateway.http.AnswerPart
+import bergamotwall.gateway.http.Header
+import bergamotwall.gateway.http.TargetClient
+import bergamotwall.gateway.targets.Target
+import bergamotwall.gateway.targets.TargetCall
+import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.targets.TargetProtocol
+import bergamotwall.model.BatchRecord
+import bergamotwall.model.WeightVersion
+import bergamotwall.runtime.Clock
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.Base64
+
+/** Runs one attempt of an item at a target and collects its text. Confined to the batch loop. */
+internal class ItemRunner(
+    private val client: TargetClient,
+    private val protocol: TargetProtocol,
+    private val loads: TargetLoads,
+    private val clock: Clock,
+    private val silenceMillis: Long,
+) {
+    /** Sends [item] of [batch] to [target]; text held from earlier attempts is gone on with where its versions fit. */
+    suspend fun run(
+        batch: OwnedBatch,
+        item: ItemState,
+        target: Target,
+    ): ItemOutcome {
+        val load = loads.of(target.id)
+        val sentAtMillis = clock.monotonicMillis()
+        load.sent()
+        val exchange = client.send(target.address, protocol.request(callOf(batch.record, item), target))
+        item.exchange = exchange
+        try {
+            val outcome = receive(batch, item, target, exchange.parts)
+            when (outcome) {
+                ItemOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
+                is ItemOutcome.Broken -> load.failed(clock.monotonicMillis())
+                is ItemOutcome.NotRun -> load.failed(clock.monotonicMillis())
+                ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled -> Unit
+            }
+            return outcome
+        } finally {
+            item.exchange = null
+            load.ended()
+            exchange.cancel()
+        }
+    }
+
+    private fun callOf(
+        record: BatchRecord,
+        item: ItemState,
+    ): TargetCall {
+        val headers = item.spec.headers.map { Header(it.name, it.value) } + Header("Host", record.host)
+        val body = Base64.getDecoder().decode(item.spec.bodyBase64)
+        return TargetCall(item.spec.id.value, "POST", item.spec.path, headers, body, null, item.lastEventId)
+    }
+
+    private suspend fun receive(
+        batch: OwnedBatch,
+        item: ItemState,
+        target: Target,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ItemOutcome {
+        val head =
+            when (val first = next(parts)) {
+                is AnswerPart.Head -> first
+                is AnswerPart.Broken -> return broken(first)
+                else -> return ItemOutcome.Broken("no answer in $silenceMillis ms")
+            }
+        val facts = protocol.read(head)
+        facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
+        val version = facts.version?.let { WeightVersion(it) }
+        return when {
+            facts.notRun -> ItemOutcome.NotRun("status ${head.status}")
+            head.status == IMPOSSIBLE -> ItemOutcome.Impossible
+            head.status >= FIRST_ERROR && facts.genuine -> ItemOutcome.ErrorAnswer
+            head.status != OK || !facts.genuine || version == null -> ItemOutcome.Broken("status ${head.status}")
+            !batch.fits(item, version) -> ItemOutcome.NotRun("version ${version.value} does not fit")
+            else -> collect(batch, item, version, parts)
+        }
+    }
+
+    private suspend fun collect(
+        batch: OwnedBatch,
+        item: ItemState,
+        firstVersion: WeightVersion,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ItemOutcome {
+        val parser = EventParser()
+        var version = firstVersion
+        while (true) {
+            val part = next(parts)
+            if (part == null) return ItemOutcome.Broken("silent for $silenceMillis ms")
+            if (part is AnswerPart.End) return ItemOutcome.Whole
+            if (part is AnswerPart.Broken) return broken(part)
+            val events = (part as? AnswerPart.Body)?.let { parser.add(it.bytes) }.orEmpty()
+            for (event in events) {
+                version = protocol.eventVersion(event.fields)?.let { WeightVersion(it) } ?: version
+                if (!batch.fits(item, version)) return ItemOutcome.Broken("version ${version.value} does not fit")
+                if (!item.append(event, version)) return ItemOutcome.Broken("event ${event.id} out of order")
+            }
+        }
+    }
+
+    private suspend fun next(parts: ReceiveChannel<AnswerPart>): AnswerPart? =
+        withTimeoutOrNull(silenceMillis) { parts.receiveCatching().getOrNull() }
+
+    private fun broken(part: AnswerPart.Broken): ItemOutcome =
+        if (part.mayHaveRun) ItemOutcome.Broken(part.reason) else ItemOutcome.NotRun(part.reason)
+
+    private companion object {
+        private const val OK = 200
+        private const val IMPOSSIBLE = 422
+        private const val FIRST_ERROR = 500
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -0,0 +1,81 @@
+package bergamotwall.gateway.batches
+
+import bergamotwall.decisions.ownerOf
+import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.model.Alive
+import bergamotwall.model.BatchId
+import bergamotwall.model.BatchOwnership
+import bergamotwall.model.CheckAlive
+import bergamotwall.model.NodeId
+import bergamotwall.runtime.Decision
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+
+/**
+ * Takes over batches whose owner is gone. Which survivor does is settled by rendezvous hashing, and in the end by
+ * compare-and-swap on the ownership record. Confined to the batch loop.
+ */
+internal class Orphans(
+    private val parts: BatchParts,
+    private val store: BatchStore,
+    private val owner: BatchOwner,
+) {
+    private val lastAddress = HashMap<NodeId, String>()
+
+    suspend fun adopt() {
+        val members = parts.board.members.read()
+        members.members.values.forEach { lastAddress[it.id] = it.peerAddress }
+        val all = store.ownerships().getOrElse { return }
+        all.filter { (id, found) -> owner.find(id) == null && !owner.submitting(id) && isOrphan(found.ownership) }
+            .filter { (id, _) -> ownerOf(id.value, members.members.keys) == parts.self().id }
+            .forEach { (id, found) -> take(id, found) }
+    }
+
+    private suspend fun isOrphan(ownership: BatchOwnership): Boolean {
+        val self = parts.self()
+        val registered = parts.board.members.read().find(ownership.owner, ownership.incarnation) != null
+        return when {
+            ownership.ended -> false
+            ownership.owner == self.id -> true
+            registered -> false
+            else -> !answers(ownership)
+        }
+    }
+
+    /** A process whose lease lapsed may live: one that the key-value service turns away goes on with its batches. */
+    private suspend fun answers(ownership: BatchOwnership): Boolean {
+        val address = lastAddress[ownership.owner] ?: return false
+        val answer = parts.peers.ask(address, CheckAlive, ALIVE_TIMEOUT_MILLIS).get()
+        return answer == Alive(ownership.incarnation)
+    }
+
+    private suspend fun take(
+        id: BatchId,
+        found: OwnedRecord,
+    ) {
+        val self = parts.self()
+        val next = found.ownership.copy(owner = self.id, incarnation = self.incarnation)
+        val outcome = store.replace(id, found.revision, next).get()
+        if (outcome !is TransactionOutcome.Committed) return
+        val record = store.items(id, next).getOrElse { return }
+        val listed = store.results(id).getOrElse { return }
+        val route = parts.board.routes.read().find(record.host, record.path) ?: return
+        owner.take(
+            OwnedBatch(record, OwnedRecord(next, outcome.revision), route, parts.clock.monotonicMillis(), listed),
+        )
+        parts.journal.record(
+            Decision(
+                "batch/${id.value}",
+                "adopted",
+                "its owner is not registered and does not answer",
+                "owner ${found.ownership.owner.value}",
+                "${listed.size} of ${record.items.size} results stand",
+            ),
+        )
+    }
+
+    private companion object {
+        /** Several round trips between data centres. */
+        private const val ALIVE_TIMEOUT_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptOutcome.kt
@@ -0,0 +1,19 @@
+package bergamotwall.gateway.forwarding
+
+import bergamotwall.gateway.http.AnswerPart
+import bergamotwall.gateway.http.TargetExchange
+
+/** How one attempt at one target ended. */
+internal sealed interface AttemptOutcome {
+    /** A whole answer, signed by the target. */
+    class Whole(val head: AnswerPart.Head, val body: ByteArray) : AttemptOutcome
+
+    /** The head of a stream; its parts follow on [exchange]. */
+    class Started(val head: AnswerPart.Head, val exchange: TargetExchange) : AttemptOutcome
+
+    /** The target did not run it. */
+    data class NotRun(val reason: String) : AttemptOutcome
+
+    /** It may have run. */
+    data class Broken(val reason: String) : AttemptOutcome
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -0,0 +1,95 @@
+package bergamotwall.gateway.forwarding
+
+import bergamotwall.gateway.http.AnswerPart
+import bergamotwall.gateway.http.TargetClient
+import bergamotwall.gateway.http.TargetExchange
+import bergamotwall.gateway.targets.Target
+import bergamotwall.gateway.targets.TargetCall
+import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.targets.TargetProtocol
+import bergamotwall.runtime.Clock
+import kotlinx.coroutines.CancellationException
+import java.io.ByteArrayOutputStream
+
+/** Sends a request to one target and receives its answer. */
+internal class AttemptRunner(
+    private val client: TargetClient,
+    private val protocol: TargetProtocol,
+    private val loads: TargetLoads,
+    private val clock: Clock,
+    private val limits: ForwardLimits,
+) {
+    /** One attempt of [request] at [target]; cancelling it makes the target drop the request. */
+    suspend fun run(
+        request: CallerRequest,
+        target: Target,
+        deadlineAtMillis: Long,
+        stream: Boolean,
+    ): AttemptOutcome {
+        val load = loads.of(target.id)
+        val sentAtMillis = clock.monotonicMillis()
+        load.sent()
+        val leftMillis = (deadlineAtMillis - sentAtMillis).coerceAtLeast(1)
+        val call =
+            TargetCall(request.id.value, request.method, request.path, request.headers, request.body, leftMillis)
+        val exchange = client.send(target.address, protocol.request(call, target))
+        var streaming = false
+        try {
+            val outcome = receive(exchange, target, stream)
+            when (outcome) {
+                is AttemptOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
+                is AttemptOutcome.Started -> streaming = true
+                is AttemptOutcome.NotRun, is AttemptOutcome.Broken -> load.failed(clock.monotonicMillis())
+            }
+            return outcome
+        } finally {
+            load.ended()
+            if (!streaming) exchange.cancel()
+        }
+    }
+
+    private suspend fun receive(
+        exchange: TargetExchange,
+        target: Target,
+        stream: Boolean,
+    ): AttemptOutcome {
+        val head =
+            when (val first = exchange.parts.receive()) {
+                is AnswerPart.Head -> first
+                is AnswerPart.Broken -> return broken(first)
+                else -> return AttemptOutcome.Broken("no head")
+            }
+        val facts = protocol.read(head)
+        facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
+        return when {
+            facts.notRun -> AttemptOutcome.NotRun("status ${head.status}")
+            !facts.genuine -> AttemptOutcome.Broken("unsigned status ${head.status}")
+            stream && head.status == OK -> AttemptOutcome.Started(head, exchange)
+            else -> whole(exchange, head)
+        }
+    }
+
+    private suspend fun whole(
+        exchange: TargetExchange,
+        head: AnswerPart.Head,
+    ): AttemptOutcome {
+        val body = ByteArrayOutputStream()
+        for (part in exchange.parts) {
+            when (part) {
+                is AnswerPart.Body -> body.writeBytes(part.bytes)
+                is AnswerPart.End -> return AttemptOutcome.Whole(head, body.toByteArray())
+                is AnswerPart.Broken -> return AttemptOutcome.Broken(part.reason)
+                is AnswerPart.Head -> return AttemptOutcome.Broken("second head")
+            }
+            if (body.size() > limits.maxAnswerBytes) return AttemptOutcome.Broken("answer too large")
+        }
+        throw CancellationException("exchange ended without its last part")
+    }
+
+    private fun broken(part: AnswerPart.Broken): AttemptOutcome =
+        if (part.mayHaveRun) AttemptOutcome.Broken(part.reason) else AttemptOutcome.NotRun(part.reason)
+
+    private companion object {
+        private const val OK = 200
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
@@ -0,0 +1,18 @@
+package bergamotwall.gateway.forwarding
+
+import bergamotwall.gateway.http.Header
+import bergamotwall.model.RequestId
+
+/**
+ * A caller's request as it goes on. [headers] are those of the caller that are passed on. [arrivedAtMillis] and
+ * [deadlineAtMillis] are on the monotonic clock.
+ */
+public class CallerRequest(
+    public val id: RequestId,
+    public val method: String,
+    public val path: String,
+    public val headers: List<Header>,
+    public val body: ByteArray,
+    public val arrivedAtMillis: Long,
+    public val deadlineAtMillis: Long,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
@@ -0,0 +1,55 @@
+package bergamotwall.gateway.http
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ReceiveChannel
+import java.util.concurrent.atomic.AtomicReference
+
+/** State of one request; its connection is set once it has one. */
+internal class NettyExchange(val request: TargetRequest) : TargetExchange {
+    private val queue = Channel<AnswerPart>(Channel.UNLIMITED)
+    private val connection = AtomicReference<TargetConnection?>()
+
+    @Volatile
+    var cancelled = false
+        private set
+
+    @Volatile
+    private var ended = false
+
+    override val parts: ReceiveChannel<AnswerPart> get() = queue
+
+    override fun cancel() {
+        if (ended) return
+        cancelled = true
+        connection.get()?.abandon(this)
+    }
+
+    fun attached(to: TargetConnection) {
+        connection.set(to)
+        if (cancelled) to.abandon(this)
+    }
+
+    fun head(head: AnswerPart.Head) {
+        queue.trySend(head)
+    }
+
+    fun body(bytes: ByteArray) {
+        if (bytes.isNotEmpty()) queue.trySend(AnswerPart.Body(bytes))
+    }
+
+    fun end() {
+        ended = true
+        queue.trySend(AnswerPart.End)
+        queue.close()
+    }
+
+    fun broken(
+        reason: String,
+        mayHaveRun: Boolean,
+    ) {
+        if (ended) return
+        ended = true
+        queue.trySend(AnswerPart.Broken(reason, mayHaveRun))
+        queue.close()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -0,0 +1,92 @@
+package bergamotwall.gateway.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Client on [group], directly on Netty's HTTP codec: the rules for targets depend on what a pooled client hides. These are
+ * answers to earlier requests, bytes after a whole answer, answers that end with their connection, and whether any byte
+ * of a request was written.
+ */
+public fun TargetClient(
+    group: EventLoopGroup,
+    limits: TargetClientLimits = TargetClientLimits(),
+): TargetClient = NettyTargetClient(group, limits)
+
+internal class NettyTargetClient(group: EventLoopGroup, private val limits: TargetClientLimits) : TargetClient {
+    private val pools = ConcurrentHashMap<String, ConcurrentLinkedDeque<TargetConnection>>()
+    private val opened = AtomicLong()
+    private val bootstrap =
+        Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMillis)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) {
+                        channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    }
+                },
+            )
+
+    override val connectionsOpened: Long get() = opened.get()
+
+    override fun send(
+        address: String,
+        request: TargetRequest,
+    ): TargetExchange {
+        val exchange = NettyExchange(request)
+        val kept = takeKept(address)
+        if (kept == null) connect(address, exchange) else kept.start(exchange)
+        return exchange
+    }
+
+    override fun close() {
+        pools.values.forEach { pool -> pool.forEach { it.close() } }
+        pools.clear()
+    }
+
+    private fun takeKept(address: String): TargetConnection? {
+        val pool = pools[address] ?: return null
+        var connection = pool.pollLast()
+        while (connection != null && !connection.usable()) {
+            connection.close()
+            connection = pool.pollLast()
+        }
+        return connection
+    }
+
+    private fun connect(
+        address: String,
+        exchange: NettyExchange,
+    ) {
+        opened.incrementAndGet()
+        val host = address.substringBeforeLast(':')
+        val port = address.substringAfterLast(':').toInt()
+        bootstrap.connect(host, port).addListener { future ->
+            if (future.isSuccess) {
+                val pool = pools.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+                val connection = TargetConnection((future as ChannelFuture).channel(), limits, pool::addLast)
+                connection.start(exchange)
+            } else {
+                exchange.broken("connect: ${future.cause().message}", mayHaveRun = false)
+            }
+        }
+    }
+
+    private companion object {
+        private const val MAX_LINE_BYTES = 8_192
+        private const val MAX_HEADER_BYTES = 65_536
+        private const val MAX_CHUNK_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/Target.kt
@@ -0,0 +1,19 @@
+package bergamotwall.gateway.targets
+
+import bergamotwall.model.DataCentre
+import bergamotwall.model.ModelName
+import bergamotwall.model.ServiceName
+import bergamotwall.model.TargetId
+import bergamotwall.model.WeightVersion
+
+/** One target as it registered itself; [bornAtMillis] tells its incarnations apart, if it says so. */
+public data class Target(
+    val id: TargetId,
+    val service: ServiceName,
+    val address: String,
+    val dataCentre: DataCentre,
+    val slots: Int,
+    val draining: Boolean,
+    val versions: Map<ModelName, WeightVersion> = emptyMap(),
+    val bornAtMillis: Long? = null,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
@@ -0,0 +1,12 @@
+package bergamotwall.gateway.targets
+
+import bergamotwall.model.ServiceName
+import bergamotwall.model.TargetId
+
+/** All registered targets. */
+public class TargetList(public val targets: Map<TargetId, Target> = emptyMap()) {
+    private val byService = targets.values.groupBy { it.service }
+
+    /** Targets of [service] that are not draining. */
+    public fun usable(service: ServiceName): List<Target> = byService[service].orEmpty().filterNot { it.draining }
+}
--- a/model/src/main/kotlin/bergamotwall/model/Ids.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Ids.kt
@@ -77,3 +77,13 @@
 @Serializable
 @JvmInline
 public value class Fingerprint(public val value: Long)
+
+/** Identity of a batch, as its trainer named it. */
+@Serializable
+@JvmInline
+public value class BatchId(public val value: String)
+
+/** Identity of one item of a batch; an item that is carried over to a later batch keeps it. */
+@Serializable
+@JvmInline
+public value class ItemId(public val value: String)
--- a/controller/src/main/kotlin/bergamotwall/controller/Duty.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Duty.kt
@@ -1,48 +1,45 @@
-package bergamotwall.controller
+package bergamotwall.runtime
 
 import bergamotwall.decisions.LeaseHolding
 import bergamotwall.model.FencingNumber
 import bergamotwall.model.NodeId
-import bergamotwall.platform.Condition
-import bergamotwall.platform.KeyValueError
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.LeaseId
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
-import bergamotwall.platform.Write
-import bergamotwall.runtime.Clock
-import bergamotwall.runtime.Decision
-import bergamotwall.runtime.Journal
-import bergamotwall.runtime.SharedKeys
+import bergamotwall.drivers.Condition
+import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.LeaseId
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.Write
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 
 /**
- * One duty that at most one controller holds, by a lease in the key-value service. Not thread-safe.
+ * One duty that at most one process holds, by a lease under [key] in the key-value service. Not thread-safe.
  *
  * The fencing number is the revision at which the lease's key was created, so a later holder has a higher one. An
  * order may be sent only while [holding] says so, on this process's own monotonic clock.
  */
-internal class Duty(
-    val name: String,
+public class Duty(
+    public val name: String,
     private val node: NodeId,
     private val store: KeyValueStore,
     private val clock: Clock,
     private val journal: Journal,
     private val ttlSeconds: Long,
+    private val key: String = SharedKeys.duty(name),
 ) {
     private var lease: LeaseId? = null
 
     /** The lease as held, or null. */
     @Volatile
-    var holding: LeaseHolding? = null
+    public var holding: LeaseHolding? = null
         private set
 
     /** Whether an order may be sent now. */
-    fun mayAct(): Boolean = holding?.mayAct(clock.monotonicMillis()) ?: false
+    public fun mayAct(): Boolean = holding?.mayAct(clock.monotonicMillis()) ?: false
 
     /** Tries to get the duty, or to keep it. Call several times a lease time. */
-    suspend fun step() {
+    public suspend fun step() {
         val current = holding
         when {
             current == null -> acquire()
@@ -51,19 +48,19 @@
     }
 
     /** Gives the duty up. */
-    suspend fun release() {
+    public suspend fun release() {
         val held = lease ?: return
         drop("released")
         store.revoke(held)
     }
 
     private suspend fun acquire() {
-        val free = store.get(SharedKeys.duty(name)).fold({ it == null }, { false })
+        val free = store.get(key).fold({ it == null }, { false })
         if (!free) return
         val requestedAtMillis = clock.monotonicMillis()
         val granted = store.grantLease(ttlSeconds).get() ?: return
-        val put = Write.Put(SharedKeys.duty(name), node.value, granted)
-        val transaction = Transaction(listOf(Condition.Absent(SharedKeys.duty(name))), listOf(put))
+        val put = Write.Put(key, node.value, granted)
+        val transaction = Transaction(listOf(Condition.Absent(key)), listOf(put))
         val outcome = store.commit(transaction).get()
         if (outcome is TransactionOutcome.Committed) {
             val ttlMillis = ttlSeconds * MILLIS_PER_SECOND
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
@@ -17,7 +17,7 @@
 import bergamotwall.peers.PeerClient
 import bergamotwall.peers.PeerHandler
 import bergamotwall.peers.PeerServer
-import bergamotwall.platform.KeyValueStore
+import bergamotwall.drivers.KeyValueStore
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServerBuilder
 import kotlinx.coroutines.CoroutineScope
--- a/runtime/src/main/kotlin/bergamotwall/runtime/NodeDrivers.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/NodeDrivers.kt
@@ -2,8 +2,8 @@
 
 import bergamotwall.model.Settings
 import bergamotwall.peers.PeerClient
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.etcd.KeyValueStore
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.etcd.KeyValueStore
 
 /** What a node reaches the world by. */
 public data class NodeDrivers(val clock: Clock, val store: KeyValueStore, val peers: PeerClient)
--- a/runtime/src/main/kotlin/bergamotwall/runtime/SharedReader.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/SharedReader.kt
@@ -5,8 +5,8 @@
 import bergamotwall.model.ModelName
 import bergamotwall.model.PublishedVersion
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.KeyValueEntry
-import bergamotwall.platform.KeyValueStore
+import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.drivers.KeyValueStore
 import com.github.michaelbull.result.onSuccess
 
 /** Takes what operators and trainers wrote from the key-value service to the blackboard. */
--- a/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
@@ -7,9 +7,9 @@
 import bergamotwall.model.TargetReport
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.platform.http.CompletionCall
-import bergamotwall.platform.http.CompletionChoice
-import bergamotwall.platform.http.CompletionEvent
+import bergamotwall.drivers.http.CompletionCall
+import bergamotwall.drivers.http.CompletionChoice
+import bergamotwall.drivers.http.CompletionEvent
 import bergamotwall.runtime.aggregatedService
 import bergamotwall.runtime.jsonResponse
 import bergamotwall.runtime.problemResponse
--- a/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
@@ -1,14 +1,14 @@
 package bergamotwall.standins
 
-import bergamotwall.platform.etcd.Compare
-import bergamotwall.platform.etcd.EtcdKeyValue
-import bergamotwall.platform.etcd.RangeRequest
-import bergamotwall.platform.etcd.RangeResponse
-import bergamotwall.platform.etcd.RequestOp
-import bergamotwall.platform.etcd.ResponseHeader
-import bergamotwall.platform.etcd.ResponseOp
-import bergamotwall.platform.etcd.TxnRequest
-import bergamotwall.platform.etcd.TxnResponse
+import bergamotwall.drivers.etcd.Compare
+import bergamotwall.drivers.etcd.EtcdKeyValue
+import bergamotwall.drivers.etcd.RangeRequest
+import bergamotwall.drivers.etcd.RangeResponse
+import bergamotwall.drivers.etcd.RequestOp
+import bergamotwall.drivers.etcd.ResponseHeader
+import bergamotwall.drivers.etcd.ResponseOp
+import bergamotwall.drivers.etcd.TxnRequest
+import bergamotwall.drivers.etcd.TxnResponse
 import java.util.Base64
 import java.util.TreeMap
 
--- a/standins/src/test/kotlin/bergamotwall/standins/KeyValueDriverTest.kt
+++ b/standins/src/test/kotlin/bergamotwall/standins/KeyValueDriverTest.kt
@@ -1,12 +1,12 @@
 package bergamotwall.standins
 
-import bergamotwall.platform.Condition
-import bergamotwall.platform.KeyValueError
-import bergamotwall.platform.KeyValueStore
-import bergamotwall.platform.Transaction
-import bergamotwall.platform.TransactionOutcome
-import bergamotwall.platform.Write
-import bergamotwall.platform.etcd.KeyValueStore
+import bergamotwall.drivers.Condition
+import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.Write
+import bergamotwall.drivers.etcd.KeyValueStore
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import kotlinx.coroutines.flow.first
