--- a/controller/src/main/kotlin/bergamotwall/controller/Controller.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Controller.kt
@@ -1,13 +1,13 @@
 package bergamotwall.controller
 
+import bergamotwall.drivers.http.EngineDriver
+import bergamotwall.drivers.http.VmListSource
+import bergamotwall.drivers.http.targetClient
 import bergamotwall.model.NodeRole
 import bergamotwall.model.NodeStatus
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.Settings
 import bergamotwall.model.StatusQuery
-import bergamotwall.drivers.http.EngineDriver
-import bergamotwall.drivers.http.VmListSource
-import bergamotwall.drivers.http.targetClient
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.aggregatedService
 import bergamotwall.runtime.runNode
--- a/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Duties.kt
@@ -1,8 +1,9 @@
 package bergamotwall.controller
 
-import bergamotwall.runtime.Duty
-import bergamotwall.model.ModelName
 import bergamotwall.drivers.EngineDriver
+import bergamotwall.model.ModelName
+import bergamotwall.runtime.Duty
+import bergamotwall.runtime.DutyParts
 import bergamotwall.runtime.Node
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -41,11 +42,8 @@
         val duty =
             Duty(
                 "rollout/${model.value}",
-                node.settings.id,
-                node.store,
-                node.clock,
-                node.journal,
-                node.settings.leaseTtlSeconds
+                DutyParts(node.settings.id, node.store, node.clock, node.journal),
+                node.settings.leaseTtlSeconds,
             )
         val intent = { node.board.configuration.read().model(model) }
         val rollout = Rollout(duty, node, engines, intent)
--- a/controller/src/main/kotlin/bergamotwall/controller/PlanStore.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/PlanStore.kt
@@ -1,15 +1,15 @@
 package bergamotwall.controller
 
-import bergamotwall.model.Configuration
-import bergamotwall.model.Jsons
-import bergamotwall.model.Plan
-import bergamotwall.model.PlanId
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.model.Configuration
+import bergamotwall.model.Jsons
+import bergamotwall.model.Plan
+import bergamotwall.model.PlanId
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
--- a/controller/src/main/kotlin/bergamotwall/controller/Plans.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Plans.kt
@@ -4,6 +4,7 @@
 import bergamotwall.decisions.confirm
 import bergamotwall.decisions.planDrain
 import bergamotwall.decisions.planIntent
+import bergamotwall.drivers.KeyValueError
 import bergamotwall.model.Configuration
 import bergamotwall.model.Confirmed
 import bergamotwall.model.Drain
@@ -14,7 +15,6 @@
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.RunState
-import bergamotwall.drivers.KeyValueError
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
@@ -1,17 +1,17 @@
 package bergamotwall.controller
 
-import bergamotwall.runtime.Duty
 import bergamotwall.decisions.RolloutGoal
 import bergamotwall.decisions.RolloutReplica
 import bergamotwall.decisions.decideRollout
+import bergamotwall.drivers.EngineDriver
 import bergamotwall.model.ModelIntent
 import bergamotwall.model.TargetId
 import bergamotwall.model.TargetReport
 import bergamotwall.model.Vm
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.EngineDriver
 import bergamotwall.runtime.Decision
+import bergamotwall.runtime.Duty
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.fold
--- a/controller/src/test/kotlin/bergamotwall/controller/DutyTest.kt
+++ b/controller/src/test/kotlin/bergamotwall/controller/DutyTest.kt
@@ -1,7 +1,8 @@
 package bergamotwall.controller
 
-import bergamotwall.runtime.Duty
 import bergamotwall.model.NodeId
+import bergamotwall.runtime.Duty
+import bergamotwall.runtime.DutyParts
 import bergamotwall.runtime.Journal
 import bergamotwall.standins.fakes.CallFault
 import bergamotwall.standins.fakes.ManualClock
@@ -24,7 +25,7 @@
         val b = duty("b")
 
         private fun duty(node: String) =
-            Duty("rollout/m", NodeId(node), store, clock, Journal(NodeId(node), clock), ttlSeconds = 4)
+            Duty("rollout/m", DutyParts(NodeId(node), store, clock, Journal(NodeId(node), clock)), 4)
 
         fun neverBoth() {
             expectThat(a.mayAct() && b.mayAct()).isFalse()
--- a/controller/src/test/kotlin/bergamotwall/controller/RolloutTest.kt
+++ b/controller/src/test/kotlin/bergamotwall/controller/RolloutTest.kt
@@ -1,6 +1,9 @@
 package bergamotwall.controller
 
-import bergamotwall.runtime.Duty
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.TargetError
 import bergamotwall.model.Configuration
 import bergamotwall.model.DataCentre
 import bergamotwall.model.ModelIntent
@@ -15,10 +18,8 @@
 import bergamotwall.model.VmRole
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.EngineDriver
-import bergamotwall.drivers.EnginePiece
-import bergamotwall.drivers.EngineRequest
-import bergamotwall.drivers.TargetError
+import bergamotwall.runtime.Duty
+import bergamotwall.runtime.DutyParts
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.NodeDrivers
 import bergamotwall.standins.fakes.ManualClock
@@ -66,7 +67,7 @@
     private val settings = Settings(NodeId("a"), DataCentre("d"), "h:1", "h:2", "h:3", "h:4")
     private val node =
         Node(settings, NodeRole.CONTROLLER, NodeDrivers(clock, MemoryKeyValueStore(clock), MemoryPeers()))
-    private val duty = Duty("rollout/m", NodeId("a"), node.store, clock, node.journal, ttlSeconds = 4)
+    private val duty = Duty("rollout/m", DutyParts(NodeId("a"), node.store, clock, node.journal), 4)
 
     private fun rollout(engines: EngineDriver): Rollout {
         node.keeper.offer(VmList(1, List(4) { Vm("e$it", VmRole.ENGINE, "m", "e$it", DataCentre("d")) }), "test")
--- a/decisions/src/main/kotlin/bergamotwall/decisions/ItemAssignment.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/ItemAssignment.kt
@@ -3,8 +3,8 @@
 import bergamotwall.model.TargetId
 
 /**
- * An item that waits for a slot, named by its [ticket]. [dueAtMillis] is when its batch is due; [groupOrder] the place of its group in the batch,
- * carried-over groups first; [groupTarget] where others of its group ran; [eligible]
+ * An item that waits for a slot, named by its [ticket]. [dueAtMillis] is when its batch is due; [groupOrder] the place
+ * of its group in the batch, carried-over groups first; [groupTarget] where others of its group ran; [eligible]
  * the targets whose weights its batch allows.
  */
 public data class WaitingItem(
@@ -41,7 +41,9 @@
         val pool = open.filter { it != item.avoid }.ifEmpty { open }
         val group = item.dueAtMillis to item.groupOrder
         val preferred = groupTargets[group] ?: item.groupTarget
-        val target = preferred?.takeIf { it in pool } ?: pool.minByOrNull { -(free.getValue(it).toDouble() / slots.getValue(it)) }
+        val target = preferred?.takeIf {
+            it in pool
+        } ?: pool.minByOrNull { -(free.getValue(it).toDouble() / slots.getValue(it)) }
         if (target != null) {
             groupTargets[group] = target
             free[target] = free.getValue(target) - 1
--- a/decisions/src/main/kotlin/bergamotwall/decisions/LoadPlan.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/LoadPlan.kt
@@ -3,16 +3,13 @@
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
 
-/** An engine as the plan of loads sees it: the [version] of the model that it last stated. */
-public data class EngineVersion(val id: TargetId, val version: WeightVersion)
-
 /**
  * Which engines are to load version [named] of a model next.
  *
  * Answers the pattern of trainers that name versions as often as engines can load them, each step allowing the version
- * before the newest one: a version goes to [share] engines only, those that lag most, so that the engines of the version
- * before go on serving and lag first the next time. [given] are the engines that have or get the version already;
- * [free] is how many more may load at once.
+ * before the newest one: a version goes to [share] engines only, those that lag most, so that the engines of the
+ * version before go on serving and lag first the next time. [given] are the engines that have or get the version
+ * already; [free] is how many more may load at once.
  */
 public fun planLoads(
     engines: List<EngineVersion>,
--- a/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
@@ -1,6 +1,5 @@
 package bergamotwall.drivers.etcd
 
-import bergamotwall.model.Jsons
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueListing
@@ -8,6 +7,7 @@
 import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.model.Jsons
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/CompletionMessages.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/CompletionMessages.kt
@@ -1,7 +1,7 @@
 package bergamotwall.drivers.http
 
-import bergamotwall.model.WeightVersion
 import bergamotwall.drivers.EnginePiece
+import bergamotwall.model.WeightVersion
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
@@ -1,7 +1,7 @@
 package bergamotwall.drivers.http
 
-import bergamotwall.model.Jsons
 import bergamotwall.drivers.TargetError
+import bergamotwall.model.Jsons
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -1,9 +1,5 @@
 package bergamotwall.drivers.http
 
-import bergamotwall.model.Jsons
-import bergamotwall.model.TargetReport
-import bergamotwall.model.VmList
-import bergamotwall.model.WeightOrder
 import bergamotwall.drivers.EngineDriver
 import bergamotwall.drivers.EnginePiece
 import bergamotwall.drivers.EngineRequest
@@ -12,6 +8,10 @@
 import bergamotwall.drivers.ServiceRequest
 import bergamotwall.drivers.TargetError
 import bergamotwall.drivers.VmListSource
+import bergamotwall.model.Jsons
+import bergamotwall.model.TargetReport
+import bergamotwall.model.VmList
+import bergamotwall.model.WeightOrder
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
@@ -5,6 +5,7 @@
 import bergamotwall.decisions.decideBatch
 import bergamotwall.decisions.hashOf
 import bergamotwall.decisions.isFresh
+import bergamotwall.drivers.KeyValueError
 import bergamotwall.model.Batch
 import bergamotwall.model.BatchOrder
 import bergamotwall.model.Jsons
@@ -14,7 +15,6 @@
 import bergamotwall.model.Sample
 import bergamotwall.model.TrainerIntent
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.KeyValueError
 import bergamotwall.runtime.Decision
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -1,6 +1,7 @@
 package bergamotwall.entry
 
 import bergamotwall.decisions.TailEstimator
+import bergamotwall.drivers.EnginePiece
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Jsons
 import bergamotwall.model.ModelIntent
@@ -10,7 +11,6 @@
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.RequestId
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.EnginePiece
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.jsonResponse
 import bergamotwall.runtime.problemResponse
--- a/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
@@ -1,5 +1,8 @@
 package bergamotwall.entry
 
+import bergamotwall.drivers.http.EngineDriver
+import bergamotwall.drivers.http.ServiceDriver
+import bergamotwall.drivers.http.targetClient
 import bergamotwall.model.CompleteReceipt
 import bergamotwall.model.DispatchPolicy
 import bergamotwall.model.Finished
@@ -12,9 +15,6 @@
 import bergamotwall.model.Settings
 import bergamotwall.model.StatusQuery
 import bergamotwall.model.Withdraw
-import bergamotwall.drivers.http.EngineDriver
-import bergamotwall.drivers.http.ServiceDriver
-import bergamotwall.drivers.http.targetClient
 import bergamotwall.runtime.AggregatedHandler
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.aggregatedService
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -5,6 +5,10 @@
 import bergamotwall.decisions.decideRetry
 import bergamotwall.decisions.fingerprintOf
 import bergamotwall.decisions.prefixOf
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.TargetError
 import bergamotwall.model.Finished
 import bergamotwall.model.Granted
 import bergamotwall.model.Offer
@@ -15,10 +19,6 @@
 import bergamotwall.model.RunState
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.EngineDriver
-import bergamotwall.drivers.EnginePiece
-import bergamotwall.drivers.EngineRequest
-import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
@@ -3,9 +3,9 @@
 import bergamotwall.decisions.GroupStep
 import bergamotwall.decisions.GroupTracker
 import bergamotwall.decisions.TailEstimator
+import bergamotwall.drivers.EnginePiece
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Problem
-import bergamotwall.drivers.EnginePiece
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/entry/src/main/kotlin/bergamotwall/entry/Manifests.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Manifests.kt
@@ -1,10 +1,5 @@
 package bergamotwall.entry
 
-import bergamotwall.model.Jsons
-import bergamotwall.model.Manifest
-import bergamotwall.model.ModelName
-import bergamotwall.model.TrainerName
-import bergamotwall.model.WeightVersion
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
@@ -12,6 +7,11 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.model.Jsons
+import bergamotwall.model.Manifest
+import bergamotwall.model.ModelName
+import bergamotwall.model.TrainerName
+import bergamotwall.model.WeightVersion
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/entry/src/main/kotlin/bergamotwall/entry/Publications.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Publications.kt
@@ -1,17 +1,17 @@
 package bergamotwall.entry
 
-import bergamotwall.model.Problem
-import bergamotwall.model.ProblemKind
-import bergamotwall.model.PublishedVersion
-import bergamotwall.model.RunState
-import bergamotwall.model.TrainerIntent
-import bergamotwall.model.WeightVersion
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.PublishedVersion
+import bergamotwall.model.RunState
+import bergamotwall.model.TrainerIntent
+import bergamotwall.model.WeightVersion
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.SharedKeys
--- a/entry/src/main/kotlin/bergamotwall/entry/ReceiptTakeOver.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptTakeOver.kt
@@ -1,12 +1,12 @@
 package bergamotwall.entry
 
-import bergamotwall.model.Jsons
-import bergamotwall.model.Receipt
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.model.Jsons
+import bergamotwall.model.Receipt
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.get
 
--- a/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReceiptWriter.kt
@@ -1,12 +1,5 @@
 package bergamotwall.entry
 
-import bergamotwall.model.Jsons
-import bergamotwall.model.PeerMessage
-import bergamotwall.model.PeerRefusal
-import bergamotwall.model.Problem
-import bergamotwall.model.ProblemKind
-import bergamotwall.model.Receipt
-import bergamotwall.model.ReceiptState
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
@@ -15,6 +8,13 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.model.Jsons
+import bergamotwall.model.PeerMessage
+import bergamotwall.model.PeerRefusal
+import bergamotwall.model.Problem
+import bergamotwall.model.ProblemKind
+import bergamotwall.model.Receipt
+import bergamotwall.model.ReceiptState
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.SharedKeys
 import com.github.michaelbull.result.fold
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceApi.kt
@@ -1,12 +1,12 @@
 package bergamotwall.entry
 
 import bergamotwall.decisions.ReceiptDecision
+import bergamotwall.drivers.ServiceAnswer
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.Receipt
 import bergamotwall.model.ReceiptPhase
 import bergamotwall.model.RunState
-import bergamotwall.drivers.ServiceAnswer
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.problemResponse
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceCall.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceCall.kt
@@ -1,10 +1,10 @@
 package bergamotwall.entry
 
+import bergamotwall.drivers.ServiceRequest
 import bergamotwall.model.CallerIntent
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.PriorityClass
 import bergamotwall.model.RequestId
-import bergamotwall.drivers.ServiceRequest
 
 /** A checked call of a plain service. [key] recognises it when it is sent again. */
 internal data class ServiceCall(
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceCallReader.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceCallReader.kt
@@ -2,11 +2,11 @@
 
 import bergamotwall.decisions.fingerprintOf
 import bergamotwall.decisions.hashOf
+import bergamotwall.drivers.ServiceRequest
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.RequestId
 import bergamotwall.model.ServiceName
-import bergamotwall.drivers.ServiceRequest
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.binding
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -3,6 +3,9 @@
 import bergamotwall.decisions.FailedAttempt
 import bergamotwall.decisions.RetryDecision
 import bergamotwall.decisions.decideRetry
+import bergamotwall.drivers.ServiceAnswer
+import bergamotwall.drivers.ServiceDriver
+import bergamotwall.drivers.TargetError
 import bergamotwall.model.Granted
 import bergamotwall.model.Offer
 import bergamotwall.model.Problem
@@ -10,9 +13,6 @@
 import bergamotwall.model.RunOutcome
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.ServiceAnswer
-import bergamotwall.drivers.ServiceDriver
-import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Node
 import com.github.michaelbull.result.Err
--- a/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
@@ -1,6 +1,8 @@
 package bergamotwall.entry
 
 import bergamotwall.decisions.TailEstimator
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.Write
 import bergamotwall.model.Batch
 import bergamotwall.model.BatchOrder
 import bergamotwall.model.Done
@@ -16,8 +18,6 @@
 import bergamotwall.model.Sample
 import bergamotwall.model.SamplesFound
 import bergamotwall.model.StoreSample
-import bergamotwall.drivers.Transaction
-import bergamotwall.drivers.Write
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.SharedKeys
 import bergamotwall.standins.fakes.CallFault
--- a/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/EntryFixture.kt
@@ -1,5 +1,10 @@
 package bergamotwall.entry
 
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EnginePiece
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.TargetError
 import bergamotwall.model.CallerIntent
 import bergamotwall.model.CallerName
 import bergamotwall.model.Configuration
@@ -25,11 +30,6 @@
 import bergamotwall.model.TrainerName
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.EngineDriver
-import bergamotwall.drivers.EnginePiece
-import bergamotwall.drivers.EngineRequest
-import bergamotwall.drivers.KeyValueStore
-import bergamotwall.drivers.TargetError
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Node
 import bergamotwall.runtime.NodeDrivers
--- a/entry/src/test/kotlin/bergamotwall/entry/VersionedEngines.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/VersionedEngines.kt
@@ -1,12 +1,12 @@
 package bergamotwall.entry
 
-import bergamotwall.model.TargetReport
-import bergamotwall.model.WeightOrder
-import bergamotwall.model.WeightVersion
 import bergamotwall.drivers.EngineDriver
 import bergamotwall.drivers.EnginePiece
 import bergamotwall.drivers.EngineRequest
 import bergamotwall.drivers.TargetError
+import bergamotwall.model.TargetReport
+import bergamotwall.model.WeightOrder
+import bergamotwall.model.WeightVersion
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
@@ -74,7 +74,13 @@
     private fun targetsChanged(entries: Map<String, KeyValueEntry>) {
         val list = drivers.documents.targets(entries).associateBy { it.id }
         val before = board.targets.read().targets
-        (list.keys - before.keys).forEach { Logger.info("event=target_found id={} address={}", it.value, list[it]?.address) }
+        (list.keys - before.keys).forEach {
+            Logger.info(
+                "event=target_found id={} address={}",
+                it.value,
+                list[it]?.address
+            )
+        }
         (before.keys - list.keys).forEach { Logger.info("event=target_gone id={}", it.value) }
         list.values.filter { it.draining && before[it.id]?.draining == false }.forEach {
             Logger.info("event=target_draining id={}", it.id.value)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import bergamotwall.gateway.members.Registration
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.weights.WeightParts
 import bergamotwall.gateway.weights.WeightRollout
 import bergamotwall.model.Alive
 import bergamotwall.model.BatchId
@@ -20,6 +21,7 @@
 import bergamotwall.peers.PeerServer
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Duty
+import bergamotwall.runtime.DutyParts
 import bergamotwall.runtime.Journal
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CoroutineScope
@@ -96,20 +98,13 @@
     private val following = Following(settings, drivers, board, loads) { section -> changed(section) }
     private val weights =
         WeightRollout(
-            settings.id,
-            board,
+            WeightParts(settings.id, board, drivers.orders, drivers.clock, journal),
             Duty(
                 "weights",
-                settings.id,
-                drivers.store,
-                drivers.clock,
-                journal,
+                DutyParts(settings.id, drivers.store, drivers.clock, journal),
                 settings.weights.leaseTtlSeconds,
                 GatewayKeys.WEIGHT_DUTY,
             ),
-            drivers.orders,
-            drivers.clock,
-            journal,
             settings.weights,
         )
     private var peerServer: PeerServer? = null
@@ -119,7 +114,9 @@
         peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> answer(message) })
         following.start(scope)
         registration.start(scope)
-        weights.start(CoroutineScope(scope.coroutineContext + loop)) { settings.frontAddress != null && following.dutyIsFree }
+        weights.start(
+            CoroutineScope(scope.coroutineContext + loop)
+        ) { settings.frontAddress != null && following.dutyIsFree }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
@@ -14,7 +14,7 @@
 import bergamotwall.runtime.Clock
 
 /** What a process of the gateway reaches the world by; differs by platform. */
-public class GatewayDrivers(
+public data class GatewayDrivers(
     public val clock: Clock,
     public val store: KeyValueStore,
     public val feed: ChangeFeed,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -5,7 +5,7 @@
 /** Bounds of the work on batches; times in milliseconds, sizes in characters. */
 @Serializable
 public data class BatchSettings(
-    /** A batch that could not be made durable by then is refused; the trainer's target for the answer is half a second. */
+    /** A batch that could not be made durable by then is refused; trainers expect the answer in half a second. */
     val acceptMillis: Long = 3_000,
     /** An engine pauses for about a second to load weights; one that is silent for longer is taken for gone. */
     val silenceMillis: Long = 2_500,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
@@ -24,26 +24,7 @@
  * Guarantees: a batch exists once its ownership record does; results are appended only by the owner of the record's
  * current revision, each position once.
  */
-internal class BatchStore(private val store: KeyValueStore, private val partChars: Int) {
-    /** Creates a batch, [ownership] last. */
-    suspend fun create(
-        record: BatchRecord,
-        ownership: BatchOwnership,
-        attempts: Attempts,
-    ): CreateOutcome {
-        val parts = Jsons.wire.encodeToString(BatchRecord.serializer(), record).chunked(partChars)
-        val puts = parts.mapIndexed { index, part -> Write.Put(GatewayKeys.itemPart(record.id, ownership.nonce, index), part) }
-        val early = puts.dropLast(PARTS_A_CALL).chunked(PARTS_A_CALL)
-        for (group in early) {
-            if (!putAll(group, attempts)) return CreateOutcome.NotCreated("the items could not be written")
-        }
-        val whole = ownership.copy(parts = parts.size)
-        val key = GatewayKeys.batch(record.id)
-        val ownershipPut = Write.Put(key, Jsons.wire.encodeToString(BatchOwnership.serializer(), whole))
-        val transaction = Transaction(listOf(Condition.Absent(key)), puts.takeLast(PARTS_A_CALL) + ownershipPut)
-        return commitNew(key, transaction, whole, attempts)
-    }
-
+internal class BatchStore(private val store: KeyValueStore) {
     /** The ownership record of [batch], null if there is none. */
     suspend fun ownership(batch: BatchId): Result<OwnedRecord?, KeyValueError> =
         store.get(GatewayKeys.batch(batch)).map { entry -> entry?.let { recordOf(it) } }
@@ -106,78 +87,11 @@
             success = { if (it?.value == text) AppendOutcome.APPENDED else AppendOutcome.FENCED },
             failure = { AppendOutcome.UNKNOWN },
         )
-
-    private suspend fun putAll(
-        puts: List<Write.Put>,
-        attempts: Attempts,
-    ): Boolean {
-        attempts.start()
-        while (attempts.next()) {
-            if (store.commit(Transaction(emptyList(), puts)).isOk) return true
-        }
-        return false
-    }
-
-    private suspend fun commitNew(
-        key: String,
-        transaction: Transaction,
-        wanted: BatchOwnership,
-        attempts: Attempts,
-    ): CreateOutcome {
-        var mayHaveApplied = false
-        attempts.start()
-        while (attempts.next()) {
-            val outcome = store.commit(transaction)
-            mayHaveApplied = mayHaveApplied || outcome.fold({ false }, ::mayHaveApplied)
-            val settled = outcome.fold({ settle(key, it, wanted) }, { null })
-            if (settled != null) return settled
-        }
-        val detail = "the key-value service did not answer in time"
-        return if (mayHaveApplied) CreateOutcome.Unknown(detail) else CreateOutcome.NotCreated(detail)
-    }
-
-    private suspend fun settle(
-        key: String,
-        outcome: TransactionOutcome,
-        wanted: BatchOwnership,
-    ): CreateOutcome? =
-        when (outcome) {
-            is TransactionOutcome.Committed -> CreateOutcome.Created(OwnedRecord(wanted, outcome.revision))
-            is TransactionOutcome.Declined ->
-                store.get(key).fold(
-                    success = { entry ->
-                        val found = entry?.let { recordOf(it) }
-                        val ours = found?.ownership?.nonce == wanted.nonce
-                        found?.let { if (ours) CreateOutcome.Created(it) else CreateOutcome.Existed(it) }
-                    },
-                    failure = { null },
-                )
-        }
-
-    private companion object {
-        /** Keeps a call well under the entries that one transaction may have. */
-        private const val PARTS_A_CALL = 4
-    }
 }
 
 /** An ownership record and the revision of its last write. */
 internal data class OwnedRecord(val ownership: BatchOwnership, val revision: Long)
 
-/** How the creation of a batch ended. */
-internal sealed interface CreateOutcome {
-    /** It exists, created by this call. */
-    data class Created(val record: OwnedRecord) : CreateOutcome
-
-    /** It existed before. */
-    data class Existed(val record: OwnedRecord) : CreateOutcome
-
-    /** It does not exist and will not, by this call. */
-    data class NotCreated(val detail: String) : CreateOutcome
-
-    /** It may exist, now or later. */
-    data class Unknown(val detail: String) : CreateOutcome
-}
-
 /** How an append ended. */
 internal enum class AppendOutcome {
     /** The results stand at their position. */
@@ -195,9 +109,3 @@
 
 private fun resultsOf(entry: KeyValueEntry): List<ItemResult> =
     Jsons.wire.decodeFromString(ListSerializer(ItemResult.serializer()), entry.value)
-
-private fun mayHaveApplied(error: KeyValueError): Boolean =
-    when (error) {
-        is KeyValueError.Unavailable -> error.mayHaveApplied
-        is KeyValueError.Rejected, is KeyValueError.LeaseGone, is KeyValueError.HistoryGone -> false
-    }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/EventParser.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/EventParser.kt
@@ -15,18 +15,25 @@
     /** Adds [bytes] and returns the events that they completed. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>()
-        for (byte in bytes) {
-            if (byte == NEWLINE) {
-                val text = line.toString(Charsets.UTF_8).removeSuffix("\r")
-                line.reset()
-                if (text.isEmpty()) flush()?.let { events += it } else field(text)
-            } else {
-                line.write(byte.toInt())
-            }
+        var start = 0
+        for (index in bytes.indices) {
+            if (bytes[index] != NEWLINE) continue
+            line.write(bytes, start, index - start)
+            start = index + 1
+            endLine()?.let { events += it }
         }
+        line.write(bytes, start, bytes.size - start)
         return events
     }
 
+    private fun endLine(): StreamEvent? {
+        val text = line.toString(Charsets.UTF_8).removeSuffix("\r")
+        line.reset()
+        if (text.isEmpty()) return flush()
+        field(text)
+        return null
+    }
+
     private fun field(text: String) {
         val name = text.substringBefore(':')
         val value = text.substringAfter(':', "").removePrefix(" ")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -163,9 +163,9 @@
         }
 
         private fun allows(target: Target): Boolean {
-            val model = batch.record.model ?: return true
-            val version = target.versions[model] ?: return false
-            return batch.route.shares.any { it.service == target.service } && version >= batch.record.minVersion
+            val model = batch.record.model
+            val fresh = model == null || target.versions[model]?.let { it >= batch.record.minVersion } == true
+            return fresh && batch.route.shares.any { it.service == target.service }
         }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -63,13 +63,20 @@
         item: ItemState,
         target: Target,
         parts: ReceiveChannel<AnswerPart>,
+    ): ItemOutcome =
+        when (val first = next(parts)) {
+            is AnswerPart.Head -> answered(batch, item, target, first, parts)
+            is AnswerPart.Broken -> broken(first)
+            else -> ItemOutcome.Broken("no answer in $silenceMillis ms")
+        }
+
+    private suspend fun answered(
+        batch: OwnedBatch,
+        item: ItemState,
+        target: Target,
+        head: AnswerPart.Head,
+        parts: ReceiveChannel<AnswerPart>,
     ): ItemOutcome {
-        val head =
-            when (val first = next(parts)) {
-                is AnswerPart.Head -> first
-                is AnswerPart.Broken -> return broken(first)
-                else -> return ItemOutcome.Broken("no answer in $silenceMillis ms")
-            }
         val facts = protocol.read(head)
         facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
         val version = facts.version?.let { WeightVersion(it) }
@@ -89,20 +96,19 @@
         firstVersion: WeightVersion,
         parts: ReceiveChannel<AnswerPart>,
     ): ItemOutcome {
-        val parser = EventParser()
-        var version = firstVersion
-        while (true) {
-            val part = next(parts)
-            if (part == null) return ItemOutcome.Broken("silent for $silenceMillis ms")
-            if (part is AnswerPart.End) return ItemOutcome.Whole
-            if (part is AnswerPart.Broken) return broken(part)
-            val events = (part as? AnswerPart.Body)?.let { parser.add(it.bytes) }.orEmpty()
-            for (event in events) {
-                version = protocol.eventVersion(event.fields)?.let { WeightVersion(it) } ?: version
-                if (!batch.fits(item, version)) return ItemOutcome.Broken("version ${version.value} does not fit")
-                if (!item.append(event, version)) return ItemOutcome.Broken("event ${event.id} out of order")
-            }
+        val collector = ItemCollector(batch, item, protocol, firstVersion)
+        var outcome: ItemOutcome? = null
+        while (outcome == null) {
+            outcome =
+                when (val part = next(parts)) {
+                    is AnswerPart.Body -> collector.add(part.bytes)
+                    is AnswerPart.End -> ItemOutcome.Whole
+                    is AnswerPart.Broken -> broken(part)
+                    is AnswerPart.Head -> ItemOutcome.Broken("second head")
+                    null -> ItemOutcome.Broken("silent for $silenceMillis ms")
+                }
         }
+        return outcome
     }
 
     private suspend fun next(parts: ReceiveChannel<AnswerPart>): AnswerPart? =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -34,14 +34,16 @@
         event: StreamEvent,
         version: WeightVersion,
     ): Boolean {
-        val id = event.id ?: return false
+        val id = event.id
         val last = lastEventId
-        if (last != null && id <= last) return true
-        if (last != null && id != last + 1) return false
-        lines += event.data
-        versions += version
-        lastEventId = id
-        return true
+        val seen = id != null && last != null && id <= last
+        val follows = id != null && (last == null || id == last + 1)
+        if (follows) {
+            lines += event.data
+            versions += version
+            lastEventId = id
+        }
+        return seen || follows
     }
 
     /** Drops the text held, for a run from the start. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -19,6 +19,7 @@
     private val parts: BatchParts,
     private val store: BatchStore,
     private val owner: BatchOwner,
+    private val submissions: Submissions,
 ) {
     private val lastAddress = HashMap<NodeId, String>()
 
@@ -26,7 +27,7 @@
         val members = parts.board.members.read()
         members.members.values.forEach { lastAddress[it.id] = it.peerAddress }
         val all = store.ownerships().getOrElse { return }
-        all.filter { (id, found) -> owner.find(id) == null && !owner.submitting(id) && isOrphan(found.ownership) }
+        all.filter { (id, found) -> owner.find(id) == null && !submissions.isUnderWay(id) && isOrphan(found.ownership) }
             .filter { (id, _) -> ownerOf(id.value, members.members.keys) == parts.self().id }
             .forEach { (id, found) -> take(id, found) }
     }
@@ -56,13 +57,20 @@
         val self = parts.self()
         val next = found.ownership.copy(owner = self.id, incarnation = self.incarnation)
         val outcome = store.replace(id, found.revision, next).get()
-        if (outcome !is TransactionOutcome.Committed) return
-        val record = store.items(id, next).getOrElse { return }
-        val listed = store.results(id).getOrElse { return }
-        val route = parts.board.routes.read().find(record.host, record.path) ?: return
-        owner.take(
-            OwnedBatch(record, OwnedRecord(next, outcome.revision), route, parts.clock.monotonicMillis(), listed),
-        )
+        if (outcome is TransactionOutcome.Committed) load(id, found, OwnedRecord(next, outcome.revision))
+    }
+
+    /** What can't be read now is found again, as owned by this process but not run, by the next search. */
+    private suspend fun load(
+        id: BatchId,
+        found: OwnedRecord,
+        owned: OwnedRecord,
+    ) {
+        val record = store.items(id, owned.ownership).get()
+        val listed = store.results(id).get()
+        val route = record?.let { parts.board.routes.read().find(it.host, it.path) }
+        if (record == null || listed == null || route == null) return
+        owner.take(OwnedBatch(record, owned, route, parts.clock.monotonicMillis(), listed))
         parts.journal.record(
             Decision(
                 "batch/${id.value}",
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -92,6 +92,9 @@
         return pageOf(record.items.size, results, after, maxChars)
     }
 
+    /** Body of [item] in base64, or null if there is no such item. */
+    fun body(item: ItemId): String? = items[item]?.spec?.bodyBase64
+
     /** Ends all runs under way. */
     fun cancelRuns() {
         items.values.forEach { it.exchange?.cancel() }
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
@@ -0,0 +1,88 @@
+package bergamotwall.gateway.batches
+
+import bergamotwall.gateway.routes.Route
+import bergamotwall.model.BatchId
+import bergamotwall.model.BatchOwnership
+import bergamotwall.model.BatchRecord
+import bergamotwall.runtime.Decision
+
+/** Accepts batches: makes them durable and hands them to [owner]. Confined to the batch loop. */
+internal class Submissions(
+    private val parts: BatchParts,
+    private val settings: BatchSettings,
+    private val owner: BatchOwner,
+    private val remote: RemoteBatches,
+) {
+    private val creator = BatchCreator(parts.store, settings.partChars)
+    private val underWay = HashSet<BatchId>()
+
+    /** Whether a submission of [id] is under way. */
+    fun isUnderWay(id: BatchId): Boolean = id in underWay
+
+    /** Makes [record] durable and starts to run it. */
+    suspend fun submit(
+        record: BatchRecord,
+        route: Route,
+    ): SubmitOutcome {
+        if (owner.find(record.id) != null) return SubmitOutcome.Accepted
+        underWay += record.id
+        val outcome =
+            try {
+                create(record, route)
+            } finally {
+                underWay -= record.id
+            }
+        parts.journal.record(
+            Decision(
+                subject = "batch/${record.id.value}",
+                decision = "submission: $outcome",
+                rule = "created if absent",
+                inputs = "route ${route.name}, ${record.items.size} items, versions from ${record.minVersion.value}",
+            ),
+        )
+        return outcomeOf(record.id, outcome)
+    }
+
+    private suspend fun create(
+        record: BatchRecord,
+        route: Route,
+    ): CreateOutcome {
+        val self = parts.self()
+        val wanted =
+            BatchOwnership(
+                owner = self.id,
+                incarnation = self.incarnation,
+                nonce = parts.random.nextLong().toULong().toString(NONCE_RADIX),
+                parts = 0,
+                total = record.items.size,
+                acceptedAtMillis = parts.clock.wallMillis(),
+            )
+        val deadlineMillis = parts.clock.monotonicMillis() + settings.acceptMillis
+        val outcome = creator.create(record, wanted, Attempts(parts.clock, parts.random, deadlineMillis))
+        if (outcome is CreateOutcome.Created) {
+            owner.take(OwnedBatch(record, outcome.record, route, parts.clock.monotonicMillis(), emptyList()))
+        }
+        return outcome
+    }
+
+    private fun outcomeOf(
+        id: BatchId,
+        outcome: CreateOutcome,
+    ): SubmitOutcome =
+        when (outcome) {
+            is CreateOutcome.Created -> SubmitOutcome.Accepted
+            is CreateOutcome.Existed -> {
+                remote.found(id, outcome.record.ownership)
+                SubmitOutcome.Accepted
+            }
+            is CreateOutcome.NotCreated -> SubmitOutcome.Refused(outcome.detail, RETRY_AFTER_MILLIS)
+            is CreateOutcome.Unknown -> SubmitOutcome.Unknown(outcome.detail)
+        }
+
+    private companion object {
+        private const val NONCE_RADIX = 36
+
+        /** The key-value service is tried for seconds before a refusal; most of its troubles are over by then. */
+        private const val RETRY_AFTER_MILLIS = 1_000L
+    }
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -8,7 +8,6 @@
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.targets.TargetProtocol
 import bergamotwall.runtime.Clock
-import kotlinx.coroutines.CancellationException
 import java.io.ByteArrayOutputStream
 
 /** Sends a request to one target and receives its answer. */
@@ -52,13 +51,19 @@
         exchange: TargetExchange,
         target: Target,
         stream: Boolean,
+    ): AttemptOutcome =
+        when (val first = exchange.parts.receive()) {
+            is AnswerPart.Head -> answered(exchange, target, stream, first)
+            is AnswerPart.Broken -> broken(first)
+            is AnswerPart.Body, AnswerPart.End -> AttemptOutcome.Broken("no head")
+        }
+
+    private suspend fun answered(
+        exchange: TargetExchange,
+        target: Target,
+        stream: Boolean,
+        head: AnswerPart.Head,
     ): AttemptOutcome {
-        val head =
-            when (val first = exchange.parts.receive()) {
-                is AnswerPart.Head -> first
-                is AnswerPart.Broken -> return broken(first)
-                else -> return AttemptOutcome.Broken("no head")
-            }
         val facts = protocol.read(head)
         facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
         return when {
@@ -74,16 +79,17 @@
         head: AnswerPart.Head,
     ): AttemptOutcome {
         val body = ByteArrayOutputStream()
-        for (part in exchange.parts) {
-            when (part) {
+        var outcome: AttemptOutcome? = null
+        while (outcome == null) {
+            when (val part = exchange.parts.receive()) {
                 is AnswerPart.Body -> body.writeBytes(part.bytes)
-                is AnswerPart.End -> return AttemptOutcome.Whole(head, body.toByteArray())
-                is AnswerPart.Broken -> return AttemptOutcome.Broken(part.reason)
-                is AnswerPart.Head -> return AttemptOutcome.Broken("second head")
+                is AnswerPart.End -> outcome = AttemptOutcome.Whole(head, body.toByteArray())
+                is AnswerPart.Broken -> outcome = AttemptOutcome.Broken(part.reason)
+                is AnswerPart.Head -> outcome = AttemptOutcome.Broken("second head")
             }
-            if (body.size() > limits.maxAnswerBytes) return AttemptOutcome.Broken("answer too large")
+            if (body.size() > limits.maxAnswerBytes) outcome = AttemptOutcome.Broken("answer too large")
         }
-        throw CancellationException("exchange ended without its last part")
+        return outcome
     }
 
     private fun broken(part: AnswerPart.Broken): AttemptOutcome =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
@@ -7,7 +7,7 @@
  * A caller's request as it goes on. [headers] are those of the caller that are passed on. [arrivedAtMillis] and
  * [deadlineAtMillis] are on the monotonic clock.
  */
-public class CallerRequest(
+public data class CallerRequest(
     public val id: RequestId,
     public val method: String,
     public val path: String,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -25,7 +25,7 @@
 import kotlin.random.Random
 
 /** What forwarding needs. */
-public class ForwardParts(
+public data class ForwardParts(
     public val board: GatewayBoard,
     public val client: TargetClient,
     public val protocol: TargetProtocol,
@@ -113,9 +113,9 @@
                     rule = route.name,
                     cause = lastReason,
                     inputs =
-                        "configuration ${parts.board.routes.read().revision.value}, service ${service.value}, " +
-                            "targets ${tried.joinToString(",") { it.value }}, " +
-                            "took ${parts.clock.monotonicMillis() - startedAtMillis} ms",
+                    "configuration ${parts.board.routes.read().revision.value}, service ${service.value}, " +
+                        "targets ${tried.joinToString(",") { it.value }}, " +
+                        "took ${parts.clock.monotonicMillis() - startedAtMillis} ms",
                 ),
             )
         }
@@ -123,11 +123,9 @@
         /** The next outcome, or null after a second target was asked because the first is slow. */
         private suspend fun next(scope: CoroutineScope): AttemptOutcome? {
             val hedge = route.repeatable && tried.size < route.maxAttempts
-            if (!hedge) return outcomes.receive()
-            val waitMillis = route.targetLatencyMillis * limits.hedgePercent / PERCENT
+            val waitMillis = if (hedge) route.targetLatencyMillis * limits.hedgePercent / PERCENT else Long.MAX_VALUE
             val outcome = withTimeoutOrNull(waitMillis) { outcomes.receive() }
-            if (outcome == null && !launchNext(scope)) return outcomes.receive()
-            return outcome
+            return if (outcome == null && !launchNext(scope)) outcomes.receive() else outcome
         }
 
         private suspend fun settle(
@@ -177,8 +175,8 @@
         private fun goOn(scope: CoroutineScope): Boolean = open > 0 || launchNext(scope)
 
         private fun launchNext(scope: CoroutineScope): Boolean {
-            if (tried.size >= route.maxAttempts) return false
-            val target = choose() ?: return false
+            val target = if (tried.size < route.maxAttempts) choose(service, tried) else null
+            if (target == null) return false
             tried += target.id
             open++
             scope.launch {
@@ -186,15 +184,18 @@
             }
             return true
         }
+    }
 
-        private fun choose(): Target? {
-            val nowMillis = parts.clock.monotonicMillis()
-            val usable = parts.board.targets.read().usable(service)
-            val candidates =
-                usable.map { parts.loads.of(it.id).candidate(it, it.dataCentre == parts.dataCentre, nowMillis) }
-            val chosen = chooseTarget(candidates, tried, parts.random) ?: return null
-            return usable.first { it.id == chosen.id }
-        }
+    private fun choose(
+        service: ServiceName,
+        tried: Set<TargetId>,
+    ): Target? {
+        val nowMillis = parts.clock.monotonicMillis()
+        val usable = parts.board.targets.read().usable(service)
+        val candidates =
+            usable.map { parts.loads.of(it.id).candidate(it, it.dataCentre == parts.dataCentre, nowMillis) }
+        val chosen = chooseTarget(candidates, tried, parts.random)
+        return usable.firstOrNull { it.id == chosen?.id }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
@@ -10,7 +10,9 @@
     public val routes: List<Route> = emptyList(),
     public val services: List<TargetService> = emptyList(),
 ) {
-    private val byHost = routes.groupBy { it.host }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
+    private val byHost = routes.groupBy {
+        it.host
+    }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
 
     /** Whether a configuration is known. */
     public val known: Boolean get() = revision.value > 0
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -44,7 +44,8 @@
 
     /** Records a failure at [nowMillis]: the target gets no new work for a time that doubles with each one in a row. */
     public fun failed(nowMillis: Long) {
-        val backoffMillis = minOf(MAX_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS shl minOf(failures.getAndIncrement(), MAX_SHIFT))
+        val backoffMillis =
+            minOf(MAX_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS shl minOf(failures.getAndIncrement(), MAX_SHIFT))
         closedUntilMillis.set(nowMillis + backoffMillis)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -23,7 +23,7 @@
  * One call to a target. [deadlineMillis] is the time it may still take, null if the target sets none;
  * [resumeAfter] is the id of the last event held.
  */
-public class TargetCall(
+public data class TargetCall(
     public val requestId: String,
     public val method: String,
     public val path: String,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightOrders.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightOrders.kt
@@ -26,8 +26,8 @@
 )
 
 /**
- * Order to run [version] of [model]. [expectedOrders] makes an order that is carried out late void: the engine refuses it
- * if it accepted another since. [keepRuns]: runs under way go on under the new version, else they end first.
+ * Order to run [version] of [model]. [expectedOrders] makes an order that is carried out late void: the engine refuses
+ * it if it accepted another since. [keepRuns]: runs under way go on under the new version, else they end first.
  */
 public data class WeightOrder(
     val model: ModelName,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -17,6 +17,15 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
+/** What the roll-out of weights needs. */
+public data class WeightParts(
+    public val node: NodeId,
+    public val board: GatewayBoard,
+    public val orders: WeightOrders,
+    public val clock: Clock,
+    public val journal: Journal,
+)
+
 /**
  * Moves engines to the versions that trainers name, while this process holds the duty. Confined to one thread.
  *
@@ -24,21 +33,19 @@
  * order states how many the engine has accepted, so that one carried out late is void.
  */
 public class WeightRollout(
-    private val node: NodeId,
-    private val board: GatewayBoard,
+    private val parts: WeightParts,
     private val duty: Duty,
-    private val orders: WeightOrders,
-    private val clock: Clock,
-    private val journal: Journal,
     private val settings: WeightSettings,
 ) {
     private class Load(val model: ModelName, val version: WeightVersion)
 
     private val loading = HashMap<TargetId, Load>()
-    private val acceptedOrders = HashMap<TargetId, Long>()
-    private val learned = HashMap<Pair<TargetId, ModelName>, WeightVersion>()
+    private val engines = EngineKnowledge(parts.orders)
     private var actsFromMillis: Long? = null
 
+    /** The holder before may act until its lease ends, and its last order may be under way then. */
+    private val waitOutMillis = settings.leaseTtlSeconds * MILLIS_PER_SECOND + settings.orderTimeoutMillis
+
     /** Works in [scope]; [wanted] tells whether this process should hold the duty. */
     public fun start(
         scope: CoroutineScope,
@@ -64,18 +71,22 @@
             forget()
             return
         }
-        val from = actsFromMillis ?: (clock.monotonicMillis() + waitOutMillis()).also { actsFromMillis = it }
-        if (clock.monotonicMillis() >= from) board.named.read().forEach { (model, version) -> plan(scope, model, version) }
+        val from = actsFromMillis ?: (parts.clock.monotonicMillis() + waitOutMillis).also { actsFromMillis = it }
+        if (parts.clock.monotonicMillis() >= from) {
+            parts.board.named.read().forEach { (model, version) ->
+                plan(
+                    scope,
+                    model,
+                    version
+                )
+            }
+        }
     }
 
-    /** The holder before may act until its lease ends, and its last order may be under way then. */
-    private fun waitOutMillis(): Long = settings.leaseTtlSeconds * MILLIS_PER_SECOND + settings.orderTimeoutMillis
-
     private fun forget() {
         actsFromMillis = null
         loading.clear()
-        acceptedOrders.clear()
-        learned.clear()
+        engines.clear()
     }
 
     private fun plan(
@@ -83,12 +94,12 @@
         model: ModelName,
         named: WeightVersion,
     ) {
-        val service = board.routes.read().serviceOf(model) ?: return
-        val targets = board.targets.read().usable(service.name).associateBy { it.id }
-        val engines = targets.values.map { EngineVersion(it.id, versionOf(it, model)) }
-        val share = maxOf(1, engines.size / maxOf(1, service.models.size))
+        val service = parts.board.routes.read().serviceOf(model) ?: return
+        val targets = parts.board.targets.read().usable(service.name).associateBy { it.id }
+        val known = targets.values.map { EngineVersion(it.id, engines.versionOf(it, model)) }
+        val share = maxOf(1, known.size / maxOf(1, service.models.size))
         val given = loading.filterValues { it.model == model && it.version >= named }.keys
-        val idle = engines.filter { it.id !in loading || it.id in given }
+        val idle = known.filter { it.id !in loading || it.id in given }
         planLoads(idle, named, share, given, settings.maxLoads - loading.size).forEach { id ->
             loading[id] = Load(model, named)
             scope.launch {
@@ -101,34 +112,34 @@
         }
     }
 
-    private fun versionOf(
-        target: Target,
-        model: ModelName,
-    ): WeightVersion {
-        val stated = target.versions[model] ?: WeightVersion(0)
-        return maxOf(stated, learned[target.id to model] ?: stated)
-    }
-
     private suspend fun load(
         target: Target,
         model: ModelName,
         version: WeightVersion,
     ) {
-        val expected = acceptedOrders[target.id] ?: askReport(target, model) ?: return delay(settings.orderTimeoutMillis)
-        if (versionOf(target, model) >= version) return
+        val expected = engines.acceptedOrders(target, model)
         val holding = duty.holding
-        if (holding == null || !duty.mayAct()) return
-        val order = WeightOrder(model, version, node, holding.fence, expected, keepRuns(model))
-        val outcome = orders.send(target, order)
+        when {
+            expected == null -> delay(settings.orderTimeoutMillis)
+            holding == null || !duty.mayAct() || engines.versionOf(target, model) >= version -> Unit
+            else -> order(target, WeightOrder(model, version, parts.node, holding.fence, expected, keepRuns(model)))
+        }
+    }
+
+    private suspend fun order(
+        target: Target,
+        order: WeightOrder,
+    ) {
+        val outcome = parts.orders.send(target, order)
         record(target, order, outcome)
         when (outcome) {
             OrderOutcome.ACCEPTED -> {
-                acceptedOrders[target.id] = expected + 1
-                awaitVersion(target, model, version)
+                engines.accepted(target, order)
+                awaitVersion(target, order.model, order.version)
             }
-            OrderOutcome.HOLDS_ALREADY -> learned[target.id to model] = version
+            OrderOutcome.HOLDS_ALREADY -> engines.holds(target, order)
             OrderOutcome.CONFLICT, OrderOutcome.REFUSED, OrderOutcome.UNKNOWN -> {
-                acceptedOrders.remove(target.id)
+                engines.forget(target)
                 delay(settings.orderTimeoutMillis)
             }
         }
@@ -139,27 +150,17 @@
         model: ModelName,
         version: WeightVersion,
     ) {
-        val untilMillis = clock.monotonicMillis() + settings.loadMillis
-        while (clock.monotonicMillis() < untilMillis) {
-            val stated = board.targets.read().targets[target.id]?.versions?.get(model)
+        val untilMillis = parts.clock.monotonicMillis() + settings.loadMillis
+        while (parts.clock.monotonicMillis() < untilMillis) {
+            val stated = parts.board.targets.read().targets[target.id]?.versions?.get(model)
             if (stated != null && stated >= version) return
             delay(settings.periodMillis)
         }
-        askReport(target, model)
-    }
-
-    private suspend fun askReport(
-        target: Target,
-        model: ModelName,
-    ): Long? {
-        val report = orders.report(target)
-        if (report == null) acceptedOrders.remove(target.id) else acceptedOrders[target.id] = report.acceptedOrders
-        report?.versions?.get(model)?.let { learned[target.id to model] = it }
-        return report?.acceptedOrders
+        engines.ask(target, model)
     }
 
     private fun keepRuns(model: ModelName): Boolean {
-        val table = board.routes.read()
+        val table = parts.board.routes.read()
         val service = table.serviceOf(model) ?: return true
         return table.routes.none { route ->
             route.batch?.singleVersion == true && route.shares.any { it.service == service.name }
@@ -171,7 +172,7 @@
         order: WeightOrder,
         outcome: OrderOutcome,
     ): Unit =
-        journal.record(
+        parts.journal.record(
             Decision(
                 subject = "target/${target.id.value}",
                 decision = "order of ${order.model.value} ${order.version.value}: $outcome",
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Duty.kt
@@ -1,15 +1,13 @@
 package bergamotwall.runtime
 
 import bergamotwall.decisions.LeaseHolding
-import bergamotwall.model.FencingNumber
-import bergamotwall.model.NodeId
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueError
-import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.model.FencingNumber
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 
@@ -21,13 +19,14 @@
  */
 public class Duty(
     public val name: String,
-    private val node: NodeId,
-    private val store: KeyValueStore,
-    private val clock: Clock,
-    private val journal: Journal,
+    parts: DutyParts,
     private val ttlSeconds: Long,
     private val key: String = SharedKeys.duty(name),
 ) {
+    private val node = parts.node
+    private val store = parts.store
+    private val clock = parts.clock
+    private val journal = parts.journal
     private var lease: LeaseId? = null
 
     /** The lease as held, or null. */
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
@@ -1,5 +1,6 @@
 package bergamotwall.runtime
 
+import bergamotwall.drivers.KeyValueStore
 import bergamotwall.model.ExplainQuery
 import bergamotwall.model.Explanation
 import bergamotwall.model.IndirectProbe
@@ -17,7 +18,6 @@
 import bergamotwall.peers.PeerClient
 import bergamotwall.peers.PeerHandler
 import bergamotwall.peers.PeerServer
-import bergamotwall.drivers.KeyValueStore
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServerBuilder
 import kotlinx.coroutines.CoroutineScope
--- a/runtime/src/main/kotlin/bergamotwall/runtime/NodeDrivers.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/NodeDrivers.kt
@@ -1,9 +1,9 @@
 package bergamotwall.runtime
 
-import bergamotwall.model.Settings
-import bergamotwall.peers.PeerClient
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.etcd.KeyValueStore
+import bergamotwall.model.Settings
+import bergamotwall.peers.PeerClient
 
 /** What a node reaches the world by. */
 public data class NodeDrivers(val clock: Clock, val store: KeyValueStore, val peers: PeerClient)
--- a/runtime/src/main/kotlin/bergamotwall/runtime/SharedReader.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/SharedReader.kt
@@ -1,12 +1,12 @@
 package bergamotwall.runtime
 
+import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.drivers.KeyValueStore
 import bergamotwall.model.Configuration
 import bergamotwall.model.Jsons
 import bergamotwall.model.ModelName
 import bergamotwall.model.PublishedVersion
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.KeyValueEntry
-import bergamotwall.drivers.KeyValueStore
 import com.github.michaelbull.result.onSuccess
 
 /** Takes what operators and trainers wrote from the key-value service to the blackboard. */
--- a/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/EngineStandIn.kt
@@ -1,5 +1,8 @@
 package bergamotwall.standins
 
+import bergamotwall.drivers.http.CompletionCall
+import bergamotwall.drivers.http.CompletionChoice
+import bergamotwall.drivers.http.CompletionEvent
 import bergamotwall.model.FencingNumber
 import bergamotwall.model.Jsons
 import bergamotwall.model.Problem
@@ -7,9 +10,6 @@
 import bergamotwall.model.TargetReport
 import bergamotwall.model.WeightOrder
 import bergamotwall.model.WeightVersion
-import bergamotwall.drivers.http.CompletionCall
-import bergamotwall.drivers.http.CompletionChoice
-import bergamotwall.drivers.http.CompletionEvent
 import bergamotwall.runtime.aggregatedService
 import bergamotwall.runtime.jsonResponse
 import bergamotwall.runtime.problemResponse
--- a/standins/src/main/kotlin/bergamotwall/standins/KeyValueStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueStandIn.kt
@@ -1,6 +1,5 @@
 package bergamotwall.standins
 
-import bergamotwall.model.Jsons
 import bergamotwall.drivers.etcd.LeaseGrantRequest
 import bergamotwall.drivers.etcd.LeaseKeepAliveResponse
 import bergamotwall.drivers.etcd.LeaseRequest
@@ -13,6 +12,7 @@
 import bergamotwall.drivers.etcd.WatchRequest
 import bergamotwall.drivers.etcd.WatchResponse
 import bergamotwall.drivers.etcd.WatchResult
+import bergamotwall.model.Jsons
 import bergamotwall.runtime.AggregatedHandler
 import bergamotwall.runtime.aggregatedService
 import bergamotwall.runtime.jsonResponse
