--- a/runtime/src/main/kotlin/bergamotwall/runtime/Journal.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Journal.kt
@@ -10,8 +10,9 @@
 public class Journal(private val node: NodeId, private val clock: Clock, capacity: Int = DEFAULT_CAPACITY) {
     private val events = AtomicReferenceArray<JournalEvent>(capacity)
     private val next = AtomicLong()
+    private val lines = LineBudget(MAX_LINES_PER_SECOND)
 
-    /** Records [decision] and writes it to the log. */
+    /** Records [decision] and writes it to the log, within a bound of lines a second. */
     public fun record(decision: Decision) {
         val event =
             JournalEvent(
@@ -24,7 +25,13 @@
                 inputs = decision.inputs,
             )
         events.set((next.getAndIncrement() % events.length()).toInt(), event)
-        Logger.debug(
+        if (lines.take(clock.monotonicMillis())) write(event)
+    }
+
+    private fun write(event: JournalEvent) {
+        val dropped = lines.takeDropped()
+        if (dropped > 0) Logger.warn("event=decisions_not_logged count={}", dropped)
+        Logger.info(
             "subject={} decision=\"{}\" rule=\"{}\" cause=\"{}\" inputs=\"{}\"",
             event.subject,
             event.decision,
@@ -43,5 +50,8 @@
 
     private companion object {
         private const val DEFAULT_CAPACITY = 8_192
+
+        /** Some five lines for each request at the busiest process; more would cost the requests' processor time. */
+        private const val MAX_LINES_PER_SECOND = 500
     }
 }
