Reach the store through other processes; let a holder of the weight duty come back at once

Batches owned by a process that is turned away could list nothing. Ruled out: adoption of batches (done 0.3 s after the members were known). Change: calls to the store go through another process while it turns this one away; the last process that ordered takes the duty without a pause; after a backlog, versions go to enough engines, the model with the fewest usable first.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/LoadPlan.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/LoadPlan.kt
@@ -1,27 +1,42 @@
 package bergamotwall.decisions
 
 import bergamotwall.model.TargetId
-import bergamotwall.model.WeightVersion
 
 /**
- * Which engines are to load version [named] of a model next.
+ * Which engines are to load which model's newest version next; at most [free] of them, none that is [busy].
  *
- * Answers the pattern of trainers that name versions as often as engines can load them, each step allowing the version
- * before the newest one: a version goes to [share] engines only, those that lag most, so that the engines of the
- * version before go on serving and lag first the next time. [given] are the engines that have or get the version
- * already; [free] is how many more may load at once.
+ * Answers the pattern of trainers that name versions about as fast as engines can load them, each step allowing the
+ * version before the newest one. A version goes to a share of the engines, those that lag most, so that the engines of
+ * the version before go on serving and lag first the next time. After an outage, when all lag by more, the model with
+ * the smallest part of its engines usable goes first, and loads until enough of them are.
  */
 public fun planLoads(
-    engines: List<EngineVersion>,
-    named: WeightVersion,
-    share: Int,
-    given: Set<TargetId>,
+    models: List<ModelLoads>,
+    busy: Set<TargetId>,
     free: Int,
-): List<TargetId> {
-    val reached = engines.count { it.version >= named || it.id in given }
-    return engines
-        .filter { it.version < named && it.id !in given }
-        .sortedWith(compareBy<EngineVersion> { it.version }.thenBy { it.id.value })
-        .take(minOf(share - reached, free).coerceAtLeast(0))
-        .map { it.id }
+): List<PlannedLoad> {
+    val planned = ArrayList<PlannedLoad>()
+    while (planned.size < free) {
+        val taken = busy + planned.map { it.target }
+        val states = models.map { state -> state.copy(loading = state.loading + planned.targetsOf(state)) }
+        planned += nextLoad(states, taken) ?: break
+    }
+    return planned
 }
+
+private fun nextLoad(
+    models: List<ModelLoads>,
+    taken: Set<TargetId>,
+): PlannedLoad? =
+    models
+        .filter { it.missing > 0 }
+        .sortedBy { it.usableNow.toDouble() / maxOf(1, it.usable) }
+        .firstNotNullOfOrNull { state ->
+            state.engines
+                .filter { it.version < state.named && it.id !in taken }
+                .minWithOrNull(compareBy<EngineVersion> { it.version }.thenBy { it.id.value })
+                ?.let { PlannedLoad(state.model, it.id) }
+        }
+
+private fun List<PlannedLoad>.targetsOf(state: ModelLoads): Set<TargetId> =
+    filter { it.model == state.model }.mapTo(HashSet()) { it.target }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
@@ -12,13 +12,14 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
+import java.util.concurrent.atomic.AtomicLong
 
 /** A section of the board that changed. */
 internal enum class FollowedSection { ROUTES, TARGETS, MEMBERS }
 
 /** Brings what the key-value service holds to the [board]; adopts no older configuration than it has. */
 internal class Following(
-    settings: GatewaySettings,
+    private val settings: GatewaySettings,
     private val drivers: GatewayDrivers,
     private val board: GatewayBoard,
     private val loads: TargetLoads,
@@ -37,10 +38,18 @@
     var targetsKnown = false
         private set
 
-    /** Whether nobody holds the duty to order weights, as far as is known. */
+    private val dutyFreeFromMillis = AtomicLong(Long.MAX_VALUE)
+
     @Volatile
-    var dutyIsFree = false
-        private set
+    private var lastHolder: String? = null
+
+    /** Whether nobody holds the duty to order weights: its last holder, who need not wait, is left time to take it. */
+    fun shouldTakeDuty(): Boolean {
+        val mine = lastHolder == null || lastHolder == settings.id.value
+        val freeFromMillis = dutyFreeFromMillis.get()
+        return freeFromMillis != Long.MAX_VALUE &&
+            drivers.clock.monotonicMillis() >= freeFromMillis + if (mine) 0 else LAST_HOLDER_MILLIS
+    }
 
     fun start(scope: CoroutineScope) {
         operator.start(scope)
@@ -95,7 +104,12 @@
         val list = entries.filterKeys { it.startsWith(GatewayKeys.MEMBERS) }.values.mapNotNull { memberOf(it) }
         val before = board.members.read().members
         board.members.update { MemberList(list.associateBy { it.id }) }
-        dutyIsFree = GatewayKeys.WEIGHT_DUTY !in entries
+        lastHolder = entries[GatewayKeys.LAST_WEIGHT_HOLDER]?.value
+        if (GatewayKeys.WEIGHT_DUTY in entries) {
+            dutyFreeFromMillis.set(Long.MAX_VALUE)
+        } else {
+            dutyFreeFromMillis.compareAndSet(Long.MAX_VALUE, drivers.clock.monotonicMillis())
+        }
         val gone = before.values.filter { old -> list.none { it.id == old.id && it.incarnation == old.incarnation } }
         gone.forEach { Logger.info("event=member_gone id={} incarnation={}", it.id.value, it.incarnation) }
         if (gone.isNotEmpty() || before.isEmpty()) onChange(FollowedSection.MEMBERS)
@@ -108,4 +122,9 @@
             Logger.warn("event=registration_unreadable key={} cause=\"{}\"", entry.key, e.message)
             null
         }
+
+    private companion object {
+        /** A process that was killed is back within about two seconds; any other holder must wait for longer. */
+        private const val LAST_HOLDER_MILLIS = 2_000L
+    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -7,6 +7,9 @@
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.Registration
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.store.RelayPath
+import bergamotwall.gateway.store.RelayedStore
+import bergamotwall.gateway.store.StoreRelay
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.weights.WeightParts
 import bergamotwall.gateway.weights.WeightRollout
@@ -21,6 +24,7 @@
 import bergamotwall.peers.PeerServer
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Duty
+import bergamotwall.runtime.DutyKeys
 import bergamotwall.runtime.DutyParts
 import bergamotwall.runtime.Journal
 import io.netty.channel.EventLoopGroup
@@ -52,6 +56,13 @@
 
     private val random = Random(incarnation xor settings.id.value.hashCode().toLong())
     private val loads = TargetLoads()
+    private val relay = StoreRelay(drivers.store, drivers.feed)
+    private val store =
+        RelayedStore(
+            drivers.store,
+            drivers.feed,
+            RelayPath(settings.id, { board.members.read() }, drivers.peers, drivers.clock, random),
+        )
 
     @Volatile
     private var leaving = false
@@ -81,7 +92,7 @@
             BatchParts(
                 ::self,
                 board,
-                drivers.store,
+                store,
                 drivers.peers,
                 drivers.client,
                 drivers.protocol,
@@ -94,16 +105,21 @@
             scope,
             loop,
         )
-    private val registration = Registration(drivers.store, drivers.clock, settings.leaseTtlSeconds, ::self)
-    private val following = Following(settings, drivers, board, loads) { section -> changed(section) }
+    private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
+    private val following = Following(
+        settings,
+        drivers.copy(store = store, feed = store),
+        board,
+        loads
+    ) { section -> changed(section) }
     private val weights =
         WeightRollout(
             WeightParts(settings.id, board, drivers.orders, drivers.clock, journal),
             Duty(
                 "weights",
-                DutyParts(settings.id, drivers.store, drivers.clock, journal),
+                DutyParts(settings.id, store, drivers.clock, journal),
                 settings.weights.leaseTtlSeconds,
-                GatewayKeys.WEIGHT_DUTY,
+                DutyKeys(GatewayKeys.WEIGHT_DUTY, GatewayKeys.LAST_WEIGHT_HOLDER),
             ),
             settings.weights,
         )
@@ -116,7 +132,7 @@
         registration.start(scope)
         weights.start(
             CoroutineScope(scope.coroutineContext + loop)
-        ) { settings.frontAddress != null && following.dutyIsFree }
+        ) { settings.frontAddress != null && !leaving && following.shouldTakeDuty() }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
@@ -169,7 +185,8 @@
         when (message) {
             is CheckAlive -> Alive(if (leaving) 0 else incarnation)
             else ->
-                batches.answer(message)
+                relay.answer(message)
+                    ?: batches.answer(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
@@ -26,6 +26,12 @@
     /** Service [name], or null. */
     public fun service(name: ServiceName): TargetService? = services.firstOrNull { it.name == name }
 
+    /** Whether every route to the engines of [model] takes texts that several versions made. */
+    public fun mixesVersions(model: ModelName): Boolean {
+        val service = serviceOf(model)?.name
+        return routes.none { route -> route.batch?.singleVersion == true && route.shares.any { it.service == service } }
+    }
+
     /** Service whose targets run [model], or null. */
     public fun serviceOf(model: ModelName): TargetService? = services.firstOrNull { model in it.models }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -17,6 +17,9 @@
     /** Key of the duty to order weight versions. */
     public const val WEIGHT_DUTY: String = "${LIVE}duties/weights"
 
+    /** Who held that duty last. */
+    public const val LAST_WEIGHT_HOLDER: String = "${LIVE}last/weights"
+
     private const val ITEMS = "bergamotwall/batch-items/"
     private const val RESULTS = "bergamotwall/batch-results/"
     private const val POSITION_DIGITS = 6
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -1,9 +1,11 @@
 package bergamotwall.gateway.weights
 
 import bergamotwall.decisions.EngineVersion
+import bergamotwall.decisions.ModelLoads
 import bergamotwall.decisions.planLoads
 import bergamotwall.gateway.GatewayBoard
 import bergamotwall.gateway.targets.Target
+import bergamotwall.gateway.targets.TargetList
 import bergamotwall.model.ModelName
 import bergamotwall.model.NodeId
 import bergamotwall.model.TargetId
@@ -43,8 +45,8 @@
     private val engines = EngineKnowledge(parts.orders)
     private var actsFromMillis: Long? = null
 
-    /** The holder before may act until its lease ends, and its last order may be under way then. */
-    private val waitOutMillis = settings.leaseTtlSeconds * MILLIS_PER_SECOND + settings.orderTimeoutMillis
+    /** The holder before may act until it learns that its lease is gone, and engines want a pause between holders. */
+    private val waitOutMillis = settings.leaseTtlSeconds * MILLIS_PER_SECOND + settings.pauseMillis
 
     /** Works in [scope]; [wanted] tells whether this process should hold the duty. */
     public fun start(
@@ -71,16 +73,15 @@
             forget()
             return
         }
-        val from = actsFromMillis ?: (parts.clock.monotonicMillis() + waitOutMillis).also { actsFromMillis = it }
-        if (parts.clock.monotonicMillis() >= from) {
-            parts.board.named.read().forEach { (model, version) ->
-                plan(
-                    scope,
-                    model,
-                    version
-                )
-            }
-        }
+        if (mayOrder()) plan(scope)
+    }
+
+    /** The holder before may still send orders for a while, unless this process was that. */
+    private suspend fun mayOrder(): Boolean {
+        val nowMillis = parts.clock.monotonicMillis()
+        val waitMillis = if (duty.actedLast) 0 else waitOutMillis
+        val from = actsFromMillis ?: (nowMillis + waitMillis).also { actsFromMillis = it }
+        return nowMillis >= from && duty.startActing()
     }
 
     private fun forget() {
@@ -89,22 +90,15 @@
         engines.clear()
     }
 
-    private fun plan(
-        scope: CoroutineScope,
-        model: ModelName,
-        named: WeightVersion,
-    ) {
-        val service = parts.board.routes.read().serviceOf(model) ?: return
-        val targets = parts.board.targets.read().usable(service.name).associateBy { it.id }
-        val known = targets.values.map { EngineVersion(it.id, engines.versionOf(it, model)) }
-        val share = maxOf(1, known.size / maxOf(1, service.models.size))
-        val given = loading.filterValues { it.model == model && it.version >= named }.keys
-        val idle = known.filter { it.id !in loading || it.id in given }
-        planLoads(idle, named, share, given, settings.maxLoads - loading.size).forEach { id ->
+    private fun plan(scope: CoroutineScope) {
+        val targets = parts.board.targets.read()
+        val models = parts.board.named.read().mapNotNull { (model, named) -> stateOf(model, named, targets) }
+        planLoads(models, loading.keys, settings.maxLoads - loading.size).forEach { (model, id) ->
+            val named = models.first { it.model == model }.named
             loading[id] = Load(model, named)
             scope.launch {
                 try {
-                    load(targets.getValue(id), model, named)
+                    load(targets.targets.getValue(id), model, named)
                 } finally {
                     loading.remove(id)
                 }
@@ -112,6 +106,24 @@
         }
     }
 
+    private fun stateOf(
+        model: ModelName,
+        named: WeightVersion,
+        targets: TargetList,
+    ): ModelLoads? =
+        parts.board.routes.read().serviceOf(model)?.let { service ->
+            val versions = targets.usable(service.name).map { EngineVersion(it.id, engines.versionOf(it, model)) }
+            val models = maxOf(1, service.models.size)
+            ModelLoads(
+                model = model,
+                named = named,
+                engines = versions,
+                loading = loading.filterValues { it.model == model && it.version >= named }.keys,
+                share = maxOf(1, versions.size / models),
+                usable = minOf(versions.size, maxOf(1, 2 * versions.size / models)),
+            )
+        }
+
     private suspend fun load(
         target: Target,
         model: ModelName,
@@ -122,7 +134,17 @@
         when {
             expected == null -> delay(settings.orderTimeoutMillis)
             holding == null || !duty.mayAct() || engines.versionOf(target, model) >= version -> Unit
-            else -> order(target, WeightOrder(model, version, parts.node, holding.fence, expected, keepRuns(model)))
+            else -> order(
+                target,
+                WeightOrder(
+                    model,
+                    version,
+                    parts.node,
+                    holding.fence,
+                    expected,
+                    parts.board.routes.read().mixesVersions(model)
+                )
+            )
         }
     }
 
@@ -131,7 +153,7 @@
         order: WeightOrder,
     ) {
         val outcome = parts.orders.send(target, order)
-        record(target, order, outcome)
+        parts.journal.record(decisionOf(target, order, outcome))
         when (outcome) {
             OrderOutcome.ACCEPTED -> {
                 engines.accepted(target, order)
@@ -159,30 +181,20 @@
         engines.ask(target, model)
     }
 
-    private fun keepRuns(model: ModelName): Boolean {
-        val table = parts.board.routes.read()
-        val service = table.serviceOf(model) ?: return true
-        return table.routes.none { route ->
-            route.batch?.singleVersion == true && route.shares.any { it.service == service.name }
-        }
-    }
-
-    private fun record(
-        target: Target,
-        order: WeightOrder,
-        outcome: OrderOutcome,
-    ): Unit =
-        parts.journal.record(
-            Decision(
-                subject = "target/${target.id.value}",
-                decision = "order of ${order.model.value} ${order.version.value}: $outcome",
-                rule = "a version goes to the engines that lag most",
-                cause = "named by its trainer",
-                inputs = "fence ${order.fence.value}, expected orders ${order.expectedOrders}",
-            ),
-        )
-
     private companion object {
         private const val MILLIS_PER_SECOND = 1_000L
     }
 }
+
+private fun decisionOf(
+    target: Target,
+    order: WeightOrder,
+    outcome: OrderOutcome,
+): Decision =
+    Decision(
+        subject = "target/${target.id.value}",
+        decision = "order of ${order.model.value} ${order.version.value}: $outcome",
+        rule = "a version goes to the engines that lag most",
+        cause = "named by its trainer",
+        inputs = "fence ${order.fence.value}, expected orders ${order.expectedOrders}",
+    )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightSettings.kt
@@ -5,8 +5,10 @@
 /** Bounds of the roll-out of weight versions. */
 @Serializable
 public data class WeightSettings(
-    /** Time to live of the duty's lease; a later holder waits as long again before its first order. */
-    val leaseTtlSeconds: Long = 3,
+    /** Time to live of the duty's lease: how long a lost holder goes unnoticed. */
+    val leaseTtlSeconds: Long = 2,
+    /** Pause between the orders of two holders: a platform setting, the time in which engines take them for rivals. */
+    val pauseMillis: Long = 3_000,
     /** Engines that load at once; the weight store slows down when more do. */
     val maxLoads: Int = 2,
     /** An order is answered at once or not at all. */
