--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -19,8 +19,6 @@
     val frontAddress: String? = null,
     /** Where the readiness check and the address directory are asked, if not at [frontAddress]. */
     val operationsAddresses: List<String> = emptyList(),
-    /** Port of the metrics page on the host of [peerAddress]; null for none. */
-    val metricsPort: Int? = null,
     val logLevel: String = "info",
     /** Threads of the request path; more than the VM's processors only cost switches. */
     val ioThreads: Int = 1,
