--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -1,6 +1,5 @@
 package bergamotwall.gateway.http
 
-import com.linecorp.armeria.common.util.TransportType
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -13,22 +12,27 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Client on [group], directly on Netty's HTTP codec: the rules for targets depend on what a pooled client hides. These
- * are answers to earlier requests, bytes after a whole answer, answers that end with their connection, and whether any
- * byte of a request was written.
+ * Client on [group], whose connections are of [channelType], directly on Netty's HTTP codec: the rules for targets depend
+ * on what a pooled client hides. These are answers to earlier requests, bytes after a whole answer, answers that end with
+ * their connection, and whether any byte of a request was written.
  */
 public fun TargetClient(
     group: EventLoopGroup,
+    channelType: Class<out Channel>,
     limits: TargetClientLimits = TargetClientLimits(),
-): TargetClient = NettyTargetClient(group, limits)
+): TargetClient = NettyTargetClient(group, channelType, limits)
 
-internal class NettyTargetClient(group: EventLoopGroup, private val limits: TargetClientLimits) : TargetClient {
+internal class NettyTargetClient(
+    group: EventLoopGroup,
+    channelType: Class<out Channel>,
+    private val limits: TargetClientLimits,
+) : TargetClient {
     private val pools = ConcurrentHashMap<String, ConcurrentLinkedDeque<TargetConnection>>()
     private val opened = AtomicLong()
     private val bootstrap =
         Bootstrap()
             .group(group)
-            .channel(TransportType.socketChannelType(group))
+            .channel(channelType)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMillis)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphansTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphansTest.kt
@@ -37,6 +37,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
@@ -65,7 +66,7 @@
                 store.list(prefix).also { yield() }
         }
     private val group = NioEventLoopGroup(1)
-    private val client = TargetClient(group)
+    private val client = TargetClient(group, NioSocketChannel::class.java)
     private val peers = MemoryPeers()
     private val self = GatewayMember(NodeId("self"), 2, DataCentre("x"), "self:1", ready = true)
     private val board = GatewayBoard()
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.http
 
 import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.channels.toList
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -17,7 +18,7 @@
 /** The client against a socket that says exactly what the case wants. */
 internal class TargetClientTest {
     private val group = NioEventLoopGroup(1)
-    private val client = TargetClient(group)
+    private val client = TargetClient(group, NioSocketChannel::class.java)
     private var server: ScriptedTarget? = null
 
     @AfterEach
