--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -12,9 +12,9 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Client on [group], whose connections are of [channelType], directly on Netty's HTTP codec: the rules for targets depend
- * on what a pooled client hides. These are answers to earlier requests, bytes after a whole answer, answers that end with
- * their connection, and whether any byte of a request was written.
+ * Client on [group], whose connections are of [channelType], directly on Netty's HTTP codec: the rules for targets
+ * depend on what a pooled client hides. These are answers to earlier requests, bytes after a whole answer, answers that
+ * end with their connection, and whether any byte of a request was written.
  */
 public fun TargetClient(
     group: EventLoopGroup,
