Look for orphaned batches until none is left

Cause: a search ran only when a registered member disappeared. An owner whose lease had lapsed but that still answered, a survivor elected that failed before it took the batch, a listing that failed, and a survivor that was not ready left a batch without an owner for good. Found by reading. Change: searches repeat every 1.5 s while a batch without a registered owner is left; only ready members are elected; after 2.5 s anyone takes it. Any change of the members asks for a search. The setting keepMillis, which nothing read, is removed. Before and after: three of the new cases of OrphansTest fail when the repetition is taken out and pass with it.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
@@ -118,7 +118,8 @@
         }
         val gone = before.values.filter { old -> list.none { it.id == old.id && it.incarnation == old.incarnation } }
         gone.forEach { Logger.info("event=member_gone id={} incarnation={}", it.id.value, it.incarnation) }
-        if (gone.isNotEmpty() || before.isEmpty()) onChange(FollowedSection.MEMBERS)
+        // A process may have come and gone unseen while the service was away, so that any change counts.
+        if (list.toSet() != before.values.toSet()) onChange(FollowedSection.MEMBERS)
     }
 
     private fun memberOf(entry: KeyValueEntry): GatewayMember? =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -176,7 +176,7 @@
             when (section) {
                 FollowedSection.ROUTES -> batches.routesChanged()
                 FollowedSection.TARGETS -> batches.targetsChanged()
-                FollowedSection.MEMBERS -> if (ready) batches.adoptOrphans()
+                FollowedSection.MEMBERS -> batches.membersChanged()
             }
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -17,6 +17,4 @@
     val pageChars: Int = 600_000,
     /** A process that does not answer a peer in this time is asked through the key-value service instead. */
     val peerTimeoutMillis: Long = 700,
-    /** How long a batch stays readable after it ended. */
-    val keepMillis: Long = 150_000,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -60,7 +60,7 @@
     private val remote = RemoteBatches(parts, store, settings.pageChars)
     private val submissions = Submissions(parts, settings, owner, remote)
     private val answers = BatchAnswers(owner, settings.pageChars)
-    private val orphans = Orphans(parts, store, owner, submissions)
+    private val orphans = Orphans(loopScope, parts, store, owner, submissions)
 
     /** Makes [record] durable and starts to run it. */
     public suspend fun submit(
@@ -110,15 +110,19 @@
     public suspend fun targetsChanged(): Unit = withContext(loop) { owner.wake() }
 
     /** Routes have changed. */
-    public suspend fun routesChanged(): Unit = withContext(loop) { owner.routesChanged(parts.board.routes.read()) }
+    public suspend fun routesChanged(): Unit =
+        withContext(loop) {
+            owner.routesChanged(parts.board.routes.read())
+            orphans.routesChanged()
+        }
+
+    /** Members have changed: batches of one that is gone are taken over, until none is left. */
+    public suspend fun membersChanged(): Unit = withContext(loop) { orphans.membersChanged() }
 
     /** Stops all runs of this process, so that the others can take its batches over. */
     public suspend fun release(): Unit =
         withContext(loop) { owner.active().forEach { owner.lose(it, "this process leaves") } }
 
-    /** Looks for batches whose owner is gone and takes over those that fall to this process. */
-    public suspend fun adoptOrphans(): Unit = withContext(loop) { orphans.adopt() }
-
     private fun attempts() =
         Attempts(parts.clock, parts.random, parts.clock.monotonicMillis() + settings.acceptMillis)
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -8,61 +8,102 @@
 import bergamotwall.model.CheckAlive
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Decision
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
-import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.Logger
 
 /**
  * Takes over batches whose owner is gone. Which survivor does is settled by rendezvous hashing, and in the end by
- * compare-and-swap on the ownership record. Confined to the batch loop.
+ * compare-and-swap on the ownership record.
+ *
+ * One search runs at a time. It is repeated until no batch is left without a registered owner: the survivor that was
+ * to take one may fail first, and an owner that answers though its registration lapsed may end later. Confined to the
+ * batch loop, which [scope] runs on.
  */
 internal class Orphans(
+    scope: CoroutineScope,
     private val parts: BatchParts,
     private val store: BatchStore,
     private val owner: BatchOwner,
     private val submissions: Submissions,
 ) {
+    private val asked = Channel<Unit>(Channel.CONFLATED)
     private val lastAddress = HashMap<NodeId, String>()
-    private var searching = false
-    private var searchAgain = false
-
-    /** Takes the orphans that fall to this process; searches once at a time, and once more if asked meanwhile. */
-    suspend fun adopt() {
-        searchAgain = true
-        if (searching) return
-        searching = true
-        try {
-            while (searchAgain) {
-                searchAgain = false
-                search()
+    private val seenAtMillis = HashMap<BatchId, Long>()
+
+    /** Batches that no route in force serves; they wait for a change of the routes, not of the members. */
+    private val unroutable = HashSet<BatchId>()
+
+    init {
+        scope.launch {
+            while (true) {
+                if (search()) withTimeoutOrNull(RECHECK_MILLIS) { asked.receive() } else asked.receive()
+                delay(GATHER_MILLIS)
             }
-        } finally {
-            searching = false
         }
     }
 
-    private suspend fun search() {
-        val members = parts.board.members.read()
-        members.members.values.forEach { lastAddress[it.id] = it.peerAddress }
-        val all = store.ownerships().getOrElse { return }
-        all.filter { (id, found) -> owner.find(id) == null && !submissions.isUnderWay(id) && isOrphan(found.ownership) }
-            .filter { (id, _) -> ownerOf(id.value, members.members.keys) == parts.self().id }
-            .forEach { (id, found) -> take(id, found) }
+    /** Asks for a search, because members have changed. */
+    fun membersChanged() {
+        parts.board.members.read().members.values.forEach { lastAddress[it.id] = it.peerAddress }
+        asked.trySend(Unit)
     }
 
-    private suspend fun isOrphan(ownership: BatchOwnership): Boolean {
-        val self = parts.self()
+    /** Asks for a search if a batch waits for a route. */
+    fun routesChanged() {
+        if (unroutable.isEmpty()) return
+        unroutable.clear()
+        asked.trySend(Unit)
+    }
+
+    /** Takes the orphans that fall to this process; true if another search is needed. */
+    private suspend fun search(): Boolean =
+        !parts.self().ready ||
+            store.ownerships().fold({ takeFrom(it) }) {
+                Logger.warn("event=orphans_not_listed cause=\"{}\"", it.detail)
+                true
+            }
+
+    private suspend fun takeFrom(all: Map<BatchId, OwnedRecord>): Boolean {
+        val suspects = all.filter { (id, found) -> id !in unroutable && isSuspect(id, found.ownership) }
+        val nowMillis = parts.clock.monotonicMillis()
+        seenAtMillis.keys.retainAll(suspects.keys)
+        suspects.keys.forEach { seenAtMillis.putIfAbsent(it, nowMillis) }
+        return suspects.count { (id, found) -> !takes(id, found, nowMillis) } > 0
+    }
+
+    private fun isSuspect(
+        id: BatchId,
+        ownership: BatchOwnership,
+    ): Boolean {
         val registered = parts.board.members.read().find(ownership.owner, ownership.incarnation) != null
-        return when {
-            ownership.ended -> false
-            ownership.owner == self.id -> true
-            registered -> false
-            else -> !answers(ownership)
-        }
+        val ours = ownership.owner == parts.self().id
+        return !ownership.ended && (ours || !registered) && owner.find(id) == null && !submissions.isUnderWay(id)
+    }
+
+    /** Takes batch [id] if it falls to this process and its owner is gone; true if this process runs it now. */
+    private suspend fun takes(
+        id: BatchId,
+        found: OwnedRecord,
+        nowMillis: Long,
+    ): Boolean {
+        val overdue = nowMillis - (seenAtMillis[id] ?: nowMillis) >= OVERDUE_MILLIS
+        val mine = overdue || elected(id) == parts.self().id
+        return mine && !answers(found.ownership) && take(id, found)
     }
 
+    private fun elected(id: BatchId): NodeId? =
+        ownerOf(id.value, parts.board.members.read().members.values.filter { it.ready }.map { it.id })
+
     /** A process whose lease lapsed may live: one that the key-value service turns away goes on with its batches. */
     private suspend fun answers(ownership: BatchOwnership): Boolean {
-        val address = lastAddress[ownership.owner] ?: return false
+        val address = lastAddress[ownership.owner]
+        if (address == null || ownership.owner == parts.self().id) return false
         val answer = parts.peers.ask(address, CheckAlive, ALIVE_TIMEOUT_MILLIS).get()
         return answer == Alive(ownership.incarnation)
     }
@@ -70,11 +111,11 @@
     private suspend fun take(
         id: BatchId,
         found: OwnedRecord,
-    ) {
+    ): Boolean {
         val self = parts.self()
         val next = found.ownership.copy(owner = self.id, incarnation = self.incarnation)
         val outcome = store.replace(id, found.revision, next).get()
-        if (outcome is TransactionOutcome.Committed) load(id, found, OwnedRecord(next, outcome.revision))
+        return outcome is TransactionOutcome.Committed && load(id, found, OwnedRecord(next, outcome.revision))
     }
 
     /** What can't be read now is found again, as owned by this process but not run, by the next search. */
@@ -82,11 +123,15 @@
         id: BatchId,
         found: OwnedRecord,
         owned: OwnedRecord,
-    ) {
+    ): Boolean {
         val record = store.items(id, owned.ownership).get()
         val listed = store.results(id).get()
         val route = record?.let { parts.board.routes.read().find(it.host, it.path) }
-        if (record == null || listed == null || route == null) return
+        if (record != null && route == null) {
+            Logger.warn("event=batch_without_route batch={} path={}", id.value, record.path)
+            unroutable += id
+        }
+        if (record == null || listed == null || route == null) return false
         owner.take(OwnedBatch(record, owned, route, parts.clock.monotonicMillis(), listed))
         parts.journal.record(
             Decision(
@@ -97,10 +142,20 @@
                 "${listed.size} of ${record.items.size} results stand",
             ),
         )
+        return true
     }
 
     private companion object {
+        /** Processes that start together register within this time; one search does for all of them. */
+        private const val GATHER_MILLIS = 200L
+
         /** Several round trips between data centres. */
         private const val ALIVE_TIMEOUT_MILLIS = 500L
+
+        /** Half of what a lease takes to lapse; one listing in this time is a small part of what a process asks. */
+        private const val RECHECK_MILLIS = 1_500L
+
+        /** The survivor elected has had a search and its calls by then; from then on anyone takes the batch. */
+        private const val OVERDUE_MILLIS = 2_500L
     }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphansTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphansTest.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.decisions.ownerOf
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueListing
 import bergamotwall.drivers.KeyValueStore
@@ -34,6 +35,7 @@
 import bergamotwall.standins.fakes.ManualClock
 import bergamotwall.standins.fakes.MemoryKeyValueStore
 import bergamotwall.standins.fakes.MemoryPeers
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import io.netty.channel.nio.NioEventLoopGroup
@@ -62,13 +64,23 @@
     /** Lets other coroutines run while a listing is under way, as the network does. */
     private val slowStore =
         object : KeyValueStore by store {
-            override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> =
-                store.list(prefix).also { yield() }
+            override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
+                yield()
+                return if (failing) {
+                    Err(
+                        KeyValueError.Unavailable("turned away", mayHaveApplied = false)
+                    )
+                } else {
+                    store.list(prefix)
+                }
+            }
         }
     private val group = NioEventLoopGroup(1)
     private val client = TargetClient(group, NioSocketChannel::class.java)
     private val peers = MemoryPeers()
-    private val self = GatewayMember(NodeId("self"), 2, DataCentre("x"), "self:1", ready = true)
+    private var failing = false
+    private var self = GatewayMember(NodeId("self"), 2, DataCentre("x"), "self:1", ready = true)
+    private val other = GatewayMember(NodeId("gone"), 1, DataCentre("x"), "gone:1")
     private val board = GatewayBoard()
     private val journal = Journal(NodeId("self"), clock)
     private val id = BatchId("b")
@@ -80,13 +92,13 @@
     }
 
     @Test
-    fun `two searches at once take a batch over once`() =
+    fun `two changes at once take a batch over once`() =
         runTest {
-            val batches = batches(this)
             own(owner = "gone", incarnation = 1)
-            launch { batches.adoptOrphans() }
-            launch { batches.adoptOrphans() }
-            runCurrent()
+            val batches = batches(this)
+            launch { batches.membersChanged() }
+            launch { batches.membersChanged() }
+            pass(100)
             expectThat(adoptions()).hasSize(1)
         }
 
@@ -110,21 +122,99 @@
         adopted: Boolean,
     ) = runTest {
         val batches = batches(this)
-        val other = GatewayMember(NodeId("gone"), 1, DataCentre("x"), "gone:1")
-        // Known once, so that its address is remembered.
-        board.members.update { MemberList(listOf(self, other).associateBy { it.id }) }
-        batches.adoptOrphans()
-        if (!registered) board.members.update { MemberList(mapOf(self.id to self)) }
+        know(batches, other)
         if (answers) peers.connect("gone:1") { _, _ -> Alive(1) }
         own(owner, incarnation, ended)
-        // Which of the registered processes takes it is settled by hashing; here only one may.
-        if (!registered) batches.adoptOrphans()
-        runCurrent()
+        if (!registered) know(batches)
+        pass(10_000)
         expectThat(adoptions().size).isEqualTo(if (adopted) 1 else 0)
         val found = checkNotNull(BatchStore(store).ownership(id).get()).ownership
         expectThat(found.owner.value).isEqualTo(if (adopted) "self" else owner)
     }
 
+    @Test
+    fun `an owner that answered without a registration is asked again until it is gone`() =
+        runTest {
+            val batches = batches(this)
+            know(batches, other)
+            own(owner = "gone", incarnation = 1)
+            peers.connect("gone:1") { _, _ -> Alive(1) }
+            know(batches)
+            pass(5_000)
+            expectThat(adoptions()).hasSize(0)
+            // It ends: no change of the members will tell, as it was not registered.
+            peers.cut("gone:1")
+            pass(5_000)
+            expectThat(adoptions()).hasSize(1)
+        }
+
+    @ParameterizedTest(name = "the survivor elected is ready: {0}")
+    @CsvSource("true", "false")
+    fun `a batch that the survivor elected does not take falls to the others`(ready: Boolean) =
+        runTest {
+            val batches = batches(this)
+            val elected = electedOver(self).copy(ready = ready)
+            own(owner = "gone", incarnation = 1)
+            know(batches, elected)
+            pass(1_000)
+            // One that is not ready is not waited for.
+            expectThat(adoptions()).hasSize(if (ready) 0 else 1)
+            pass(5_000)
+            expectThat(adoptions()).hasSize(1)
+        }
+
+    @Test
+    fun `a batch whose records can't be read is taken once they can`() =
+        runTest {
+            own(owner = "gone", incarnation = 1)
+            val batches = batches(this)
+            failing = true
+            know(batches)
+            pass(5_000)
+            expectThat(adoptions()).hasSize(0)
+            failing = false
+            pass(5_000)
+            expectThat(adoptions()).hasSize(1)
+        }
+
+    @Test
+    fun `a process that is not ready takes nothing until it is`() =
+        runTest {
+            own(owner = "gone", incarnation = 1)
+            self = self.copy(ready = false)
+            val batches = batches(this)
+            know(batches)
+            pass(5_000)
+            expectThat(adoptions()).hasSize(0)
+            self = self.copy(ready = true)
+            pass(5_000)
+            expectThat(adoptions()).hasSize(1)
+        }
+
+    private suspend fun know(
+        batches: Batches,
+        vararg others: GatewayMember,
+    ) {
+        board.members.update { MemberList((others.toList() + self).associateBy { it.id }) }
+        batches.membersChanged()
+    }
+
+    /** A member that rendezvous hashing prefers to [member] for the batch of these tests. */
+    private fun electedOver(member: GatewayMember): GatewayMember =
+        (1..100)
+            .map { NodeId("other$it") }
+            .first { ownerOf(id.value, listOf(member.id, it)) == it }
+            .let { GatewayMember(it, 1, DataCentre("x"), "${it.value}:1", ready = true) }
+
+    /** Lets [millis] of virtual time pass, for the coroutines and for the clock. */
+    private fun TestScope.pass(millis: Long) {
+        repeat((millis / STEP_MILLIS).toInt()) {
+            clock.advance(STEP_MILLIS)
+            testScheduler.advanceTimeBy(STEP_MILLIS)
+            runCurrent()
+        }
+    }
+
     private fun adoptions() = journal.find("batch/").filter { it.decision == "adopted" }
 
     private suspend fun own(
@@ -173,4 +263,8 @@
 
         override fun eventVersion(fields: Map<String, String>): Long? = null
     }
+
+    private companion object {
+        private const val STEP_MILLIS = 100L
+    }
 }
