Run the batches of a route at one process; end a registration for good

And a process that left registered itself again: the loop that renews made a registration anew after end(). Its batches then counted as owned until the lease lapsed. Ruled out: a longer idle time of connections (targets close them, and the entries would still need as many each); runners as homes (a disk's faults hit those VMs more often). Change: submissions go to the process that rendezvous hashing names for their route, or stay where they came if that does not take them; a refusal after an unclear answer becomes unknown. Orphans go to the same process. A process that leaves accepts nothing, waits for submissions under way, and registers no more.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAnswers.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAnswers.kt
@@ -10,12 +10,18 @@
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.ReadBatch
+import bergamotwall.model.SubmitBatch
 
 /** Answers other processes about the batches that this one owns. Confined to the batch loop. */
-internal class BatchAnswers(private val owner: BatchOwner, private val pageChars: Int) {
+internal class BatchAnswers(
+    private val owner: BatchOwner,
+    private val acceptance: Acceptance,
+    private val pageChars: Int,
+) {
     /** Answer to [message], or null if it is not about batches. */
     suspend fun answer(message: PeerMessage): PeerMessage? =
         when (message) {
+            is SubmitBatch -> acceptance.answer(message.record)
             is ReadBatch ->
                 owner.find(message.batch)?.let { it.page(message.after, message.waitMillis, pageChars) } ?: NotOwner
             is FetchItem -> owner.find(message.batch)?.let { ItemBody(it.body(message.item)) } ?: NotOwner
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -15,6 +15,10 @@
     val partChars: Int = 400_000,
     /** A page of results has at most a megabyte. */
     val pageChars: Int = 600_000,
+    /** A process with more unfinished items takes no batches over from others: two large steps of one trainer. */
+    val homeItems: Int = 400,
+    /** A submission that another process has not accepted by then is accepted here; the answer is due in 500 ms. */
+    val handOverMillis: Long = 250,
     /** A process that does not answer a peer in this time is asked through the key-value service instead. */
     val peerTimeoutMillis: Long = 700,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -59,15 +59,16 @@
         }
     private val remote = RemoteBatches(parts, store, settings.pageChars)
     private val submissions = Submissions(parts, settings, owner, remote)
-    private val answers = BatchAnswers(owner, settings.pageChars)
+    private val acceptance = Acceptance(parts, settings, owner, submissions)
+    private val answers = BatchAnswers(owner, acceptance, settings.pageChars)
     private val orphans = Orphans(loopScope, parts, store, owner, submissions)
 
-    /** Makes [record] durable and starts to run it. */
+    /** Makes [record] durable and has it run, here or at the process that runs the batches of [route]. */
     public suspend fun submit(
         record: BatchRecord,
         route: Route,
     ): SubmitOutcome =
-        withContext(loop) { submissions.submit(record, route) }
+        withContext(loop) { acceptance.submit(record, route) }
 
     /** Results of [batch] from [after] on, waiting up to [waitMillis] for the first. */
     public suspend fun read(
@@ -119,9 +120,15 @@
     /** Members have changed: batches of one that is gone are taken over, until none is left. */
     public suspend fun membersChanged(): Unit = withContext(loop) { orphans.membersChanged() }
 
-    /** Stops all runs of this process, so that the others can take its batches over. */
+    /**
+     * Stops all runs of this process, so that the others can take its batches over. No submission may come any more;
+     * one that is under way is waited for, as the others look for orphans once only.
+     */
     public suspend fun release(): Unit =
-        withContext(loop) { owner.active().forEach { owner.lose(it, "this process leaves") } }
+        withContext(loop) {
+            submissions.awaitNone()
+            owner.active().forEach { owner.lose(it, "this process leaves") }
+        }
 
     private fun attempts() =
         Attempts(parts.clock, parts.random, parts.clock.monotonicMillis() + settings.acceptMillis)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -1,7 +1,7 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.ownerOf
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.gateway.members.homeOf
 import bergamotwall.model.Alive
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
@@ -93,13 +93,10 @@
         nowMillis: Long,
     ): Boolean {
         val overdue = nowMillis - (seenAtMillis[id] ?: nowMillis) >= OVERDUE_MILLIS
-        val mine = overdue || elected(id) == parts.self().id
+        val mine = overdue || homeOf(parts.board.members.read(), found.ownership.route)?.id == parts.self().id
         return mine && !answers(found.ownership) && take(id, found)
     }
 
-    private fun elected(id: BatchId): NodeId? =
-        ownerOf(id.value, parts.board.members.read().members.values.filter { it.ready }.map { it.id })
-
     /** A process whose lease lapsed may live: one that the key-value service turns away goes on with its batches. */
     private suspend fun answers(ownership: BatchOwnership): Boolean {
         val address = lastAddress[ownership.owner]
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -50,6 +50,9 @@
     /** Whether items may still be sent. */
     val active: Boolean get() = !ended && !lost
 
+    /** Items that are not done. */
+    val unfinished: Int get() = items.values.count { !it.done }
+
     /** Results that are durable. */
     val listedResults: Int get() = results.size
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
@@ -5,6 +5,8 @@
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
 import bergamotwall.runtime.Decision
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 
 /** Accepts batches: makes them durable and hands them to [owner]. Confined to the batch loop. */
 internal class Submissions(
@@ -14,24 +16,31 @@
     private val remote: RemoteBatches,
 ) {
     private val creator = BatchCreator(parts.store, settings.partChars)
-    private val underWay = HashSet<BatchId>()
+    private val underWay = MutableStateFlow(emptyList<BatchId>())
 
     /** Whether a submission of [id] is under way. */
-    fun isUnderWay(id: BatchId): Boolean = id in underWay
+    fun isUnderWay(id: BatchId): Boolean = id in underWay.value
 
-    /** Makes [record] durable and starts to run it. */
+    /** Waits until no submission is under way. */
+    suspend fun awaitNone() {
+        underWay.first { it.isEmpty() }
+    }
+
+    /** Makes [record] durable and starts to run it; refused if this process is not ready. */
     suspend fun submit(
         record: BatchRecord,
         route: Route,
     ): SubmitOutcome {
+        val ready = parts.self().ready
         if (owner.find(record.id) != null) return SubmitOutcome.Accepted
-        underWay += record.id
-        val outcome =
-            try {
-                create(record, route)
-            } finally {
-                underWay -= record.id
-            }
+        return if (ready) make(record, route) else SubmitOutcome.Refused("this process leaves", LEAVING_RETRY_MILLIS)
+    }
+
+    private suspend fun make(
+        record: BatchRecord,
+        route: Route,
+    ): SubmitOutcome {
+        val outcome = counted(record.id) { create(record, route) }
         parts.journal.record(
             Decision(
                 subject = "batch/${record.id.value}",
@@ -43,6 +52,18 @@
         return outcomeOf(record.id, outcome)
     }
 
+    private suspend fun counted(
+        id: BatchId,
+        create: suspend () -> CreateOutcome,
+    ): CreateOutcome {
+        underWay.value += id
+        try {
+            return create()
+        } finally {
+            underWay.value -= id
+        }
+    }
+
     private suspend fun create(
         record: BatchRecord,
         route: Route,
@@ -56,6 +77,7 @@
                 parts = 0,
                 total = record.items.size,
                 acceptedAtMillis = parts.clock.wallMillis(),
+                route = route.name,
             )
         val deadlineMillis = parts.clock.monotonicMillis() + settings.acceptMillis
         val outcome = creator.create(record, wanted, Attempts(parts.clock, parts.random, deadlineMillis))
@@ -84,5 +106,8 @@
 
         /** The key-value service is tried for seconds before a refusal; most of its troubles are over by then. */
         private const val RETRY_AFTER_MILLIS = 1_000L
+
+        /** Other entries take it at once. */
+        private const val LEAVING_RETRY_MILLIS = 100L
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
@@ -31,6 +31,9 @@
     private var registered: GatewayMember? = null
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
+    @Volatile
+    private var ended = false
+
     /** When the service last confirmed the registration, on the monotonic clock. */
     @Volatile
     public var confirmedAtMillis: Long = Long.MIN_VALUE
@@ -39,7 +42,7 @@
     /** Keeps the registration in [scope]. */
     public fun start(scope: CoroutineScope): Job =
         scope.launch {
-            while (true) {
+            while (!ended) {
                 step()
                 val pauseMillis = if (lease == null) RETRY_MILLIS else ttlSeconds * MILLIS_PER_SECOND / RENEWALS_PER_TTL
                 withTimeoutOrNull(pauseMillis) { changes.receive() }
@@ -51,8 +54,9 @@
         changes.trySend(Unit)
     }
 
-    /** Ends the registration, so that the others learn of it at once. */
+    /** Ends the registration for good, so that the others learn of it at once. */
     public suspend fun end() {
+        ended = true
         val held = lease ?: return
         lease = null
         store.revoke(held)
@@ -79,6 +83,8 @@
                 return
             }
         if (write(granted)) lease = granted
+        // The end came while the registration was being made.
+        if (ended) end()
     }
 
     private suspend fun write(under: LeaseId): Boolean {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
@@ -128,7 +128,7 @@
         return creator.create(record, ownership(nonce), attempts(if (attempts == 1) 0 else 10_000))
     }
 
-    private fun ownership(nonce: String) = BatchOwnership(NodeId("a"), 1, nonce, 0, record.items.size, 0)
+    private fun ownership(nonce: String) = BatchOwnership(NodeId("a"), 1, nonce, 0, record.items.size, 0, "r")
 
     private fun attempts(millis: Long) = Attempts(clock, Random(1), clock.monotonicMillis() + millis)
 
--- /dev/null
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/members/HomeOfTest.kt
@@ -0,0 +1,47 @@
+package bergamotwall.gateway.members
+
+import bergamotwall.model.DataCentre
+import bergamotwall.model.NodeId
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+
+internal class HomeOfTest {
+    /** A member's name ends with "-" if it is not ready, and starts with "r" if callers don't reach it. */
+    @ParameterizedTest(name = "among {0}: {1}")
+    @CsvSource(
+        "e1, e1",
+        "e1- e2, e2",
+        "e1 r1 r2 r3, e1",
+        "e1- r1, r1",
+        "e1- r1-, ''",
+    )
+    fun `a ready entry, else any ready process`(
+        names: String,
+        expected: String,
+    ) {
+        expectThat(homeOf(members(names), "route")?.id?.value.orEmpty()).isEqualTo(expected)
+    }
+
+    @Test
+    fun `the loss of one entry moves only the routes that it had`() {
+        val before = members("e1 e2 e3 e4")
+        val after = members("e1 e2 e3")
+        val routes = (1..200).map { "route$it" }
+        val moved = routes.filter { homeOf(before, it) != homeOf(after, it) }
+        expectThat(moved).isEqualTo(routes.filter { homeOf(before, it)?.id?.value == "e4" })
+        expectThat(moved.size).isGreaterThan(0)
+    }
+
+    private fun members(names: String): MemberList =
+        MemberList(
+            names.split(' ').associate { name ->
+                val id = NodeId(name.removeSuffix("-"))
+                val front = id.value.takeIf { it.startsWith("e") }
+                id to GatewayMember(id, 1, DataCentre("x"), "peer", front, ready = !name.endsWith("-"))
+            },
+        )
+}
--- a/model/src/main/kotlin/bergamotwall/model/BatchMessages.kt
+++ b/model/src/main/kotlin/bergamotwall/model/BatchMessages.kt
@@ -3,6 +3,14 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
+/**
+ * Hands a submission over; answered by [Done] once it is durable, [NotOwner] if it is not taken and never will be, or
+ * [PeerRefusal] if that is not known.
+ */
+@Serializable
+@SerialName("bs")
+public data class SubmitBatch(val record: BatchRecord) : PeerMessage
+
 /** Asks the owner of [batch] for its results from position [after] on; answered by [BatchPage] or [NotOwner]. */
 @Serializable
 @SerialName("br")
@@ -28,7 +36,7 @@
 @SerialName("be")
 public data class EndBatch(val batch: BatchId) : PeerMessage
 
-/** The receiver does not own the batch. */
+/** The receiver does not own the batch, or does not take it. */
 @Serializable
 @SerialName("bn")
 public data object NotOwner : PeerMessage
--- a/model/src/main/kotlin/bergamotwall/model/BatchOwnership.kt
+++ b/model/src/main/kotlin/bergamotwall/model/BatchOwnership.kt
@@ -5,6 +5,7 @@
 /**
  * Who runs a batch: the process [owner] in its [incarnation]. Changed by compare-and-swap only; its revision fences
  * what the owner appends. [nonce] names the attempt that created it, whose items count; they have [parts] parts.
+ * [route] decides which process takes the batch over.
  */
 @Serializable
 public data class BatchOwnership(
@@ -14,5 +15,6 @@
     val parts: Int,
     val total: Int,
     val acceptedAtMillis: Long,
+    val route: String,
     val ended: Boolean = false,
 )
