Report VMs that are to be taken away as empty; drop text that no version may go on with

Cause: op/retire was followed by nobody, so that an operator waited in vain. And an item of a route that wants one version kept text of a version that no target had any more: each attempt was refused as not fitting, for ever. Ruled out: asking targets for the old version, which they never load again. Change: Evacuation releases the batches of the VM's process, which then counts as not ready, and reports the VM; a VM whose process is gone is reported by another. A run under a version that may not go on with the text held drops it, and no longer counts as a failure of the target.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Following.kt
@@ -15,7 +15,7 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** A section of the board that changed. */
-internal enum class FollowedSection { ROUTES, TARGETS, MEMBERS }
+internal enum class FollowedSection { ROUTES, TARGETS, MEMBERS, EVACUATIONS }
 
 /** Brings what the key-value service holds to the [board]; adopts no older configuration than it has. */
 internal class Following(
@@ -80,6 +80,12 @@
             Logger.info("event=configuration_adopted revision={} routes={}", found.revision.value, found.routes.size)
             onChange(FollowedSection.ROUTES)
         }
+        val evacuations = drivers.documents.evacuations(entries)
+        if (evacuations != board.evacuations.read()) {
+            board.evacuations.update { evacuations }
+            Logger.info("event=evacuations_changed vms={}", evacuations.joinToString(",") { it.value })
+            onChange(FollowedSection.EVACUATIONS)
+        }
         val named = drivers.documents.namedVersions(entries)
         board.named.update { old ->
             (old.keys + named.keys).associateWith { model -> listOfNotNull(old[model], named[model]).max() }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -4,6 +4,8 @@
 import bergamotwall.gateway.batches.Batches
 import bergamotwall.gateway.forwarding.ForwardParts
 import bergamotwall.gateway.forwarding.Forwarder
+import bergamotwall.gateway.members.Evacuation
+import bergamotwall.gateway.members.EvacuationParts
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.Registration
 import bergamotwall.gateway.store.GatewayKeys
@@ -67,8 +69,10 @@
     @Volatile
     private var leaving = false
 
-    /** Whether the process serves callers: it knows routes and targets, and is not leaving. */
-    public val ready: Boolean get() = !leaving && board.routes.read().known && following.targetsKnown
+    /** Whether the process takes work: it knows routes and targets, does not leave, and its VM is not emptied. */
+    public val ready: Boolean
+        get() = !leaving && settings.id !in board.evacuations.read() && board.routes.read().known &&
+            following.targetsKnown
 
     /** Serves callers' requests. */
     public val forwarder: Forwarder =
@@ -123,6 +127,10 @@
             ),
             settings.weights,
         )
+    private val evacuation =
+        Evacuation(
+            EvacuationParts(settings.id, board, store, drivers.documents::evacuated, drivers.clock, journal)
+        ) { batches.release() }
     private var peerServer: PeerServer? = null
 
     /** Starts all work. */
@@ -130,9 +138,10 @@
         peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> answer(message) })
         following.start(scope)
         registration.start(scope)
+        evacuation.start(CoroutineScope(scope.coroutineContext + loop))
         weights.start(
             CoroutineScope(scope.coroutineContext + loop)
-        ) { settings.frontAddress != null && !leaving && following.shouldTakeDuty() }
+        ) { settings.frontAddress != null && ready && following.shouldTakeDuty() }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
@@ -176,14 +185,18 @@
             when (section) {
                 FollowedSection.ROUTES -> batches.routesChanged()
                 FollowedSection.TARGETS -> batches.targetsChanged()
-                FollowedSection.MEMBERS -> batches.membersChanged()
+                FollowedSection.MEMBERS -> {
+                    batches.membersChanged()
+                    evacuation.changed()
+                }
+                FollowedSection.EVACUATIONS -> evacuation.changed()
             }
         }
     }
 
     private suspend fun answer(message: PeerMessage): PeerMessage =
         when (message) {
-            is CheckAlive -> Alive(if (leaving) 0 else incarnation)
+            is CheckAlive -> Alive(if (ready) incarnation else 0)
             else ->
                 relay.answer(message)
                     ?: batches.answer(message)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayBoard.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayBoard.kt
@@ -4,6 +4,7 @@
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.model.ModelName
+import bergamotwall.model.NodeId
 import bergamotwall.model.WeightVersion
 import bergamotwall.runtime.Section
 
@@ -18,6 +19,9 @@
     /** Registered processes of the gateway, this one included. */
     public val members: Section<MemberList> = Section(MemberList())
 
+    /** VMs that operators want to take away. */
+    public val evacuations: Section<Set<NodeId>> = Section(emptySet())
+
     /** Newest version that trainers named, by model. */
     public val named: Section<Map<ModelName, WeightVersion>> = Section(emptyMap())
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
@@ -3,12 +3,14 @@
 import bergamotwall.drivers.ChangeFeed
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.Write
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetProtocol
 import bergamotwall.gateway.weights.WeightOrders
 import bergamotwall.model.ModelName
+import bergamotwall.model.NodeId
 import bergamotwall.model.WeightVersion
 import bergamotwall.peers.PeerClient
 import bergamotwall.runtime.Clock
@@ -39,6 +41,12 @@
     /** Newest versions that trainers named. */
     public fun namedVersions(entries: Map<String, KeyValueEntry>): Map<ModelName, WeightVersion>
 
+    /** VMs that operators want to take away. */
+    public fun evacuations(entries: Map<String, KeyValueEntry>): Set<NodeId>
+
+    /** The write that tells operators that [vm] is empty. */
+    public fun evacuated(vm: NodeId): Write.Put
+
     /** Targets among [entries]; those that can't be read are left out. */
     public fun targets(entries: Map<String, KeyValueEntry>): List<Target>
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
@@ -18,7 +18,7 @@
     private fun take(event: StreamEvent): ItemOutcome? {
         version = protocol.eventVersion(event.fields)?.let { WeightVersion(it) } ?: version
         return when {
-            !batch.fits(item, version) -> ItemOutcome.Broken("version ${version.value} does not fit")
+            !batch.fits(item, version) -> ItemOutcome.Unfit(version)
             !item.append(event, version) -> ItemOutcome.Broken("event ${event.id} out of order")
             else -> null
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -103,6 +103,11 @@
                 retryLater(item, target)
             }
             is ItemOutcome.NotRun, is ItemOutcome.Broken -> retryLater(item, target)
+            is ItemOutcome.Unfit -> {
+                // No target may ever have the version of the text held again.
+                if (outcome.version >= batch.record.minVersion) item.restart()
+                retryLater(item, target)
+            }
             ItemOutcome.Cancelled -> Unit
         }
         if (item.done) onDone(batch)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
@@ -1,5 +1,7 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.model.WeightVersion
+
 /** How one attempt to run an item ended. */
 internal sealed interface ItemOutcome {
     /** The whole text is held. */
@@ -14,6 +16,9 @@
     /** The target did not run it. */
     data class NotRun(val reason: String) : ItemOutcome
 
+    /** The target's weights are none that the batch allows, or none that may go on with the text held. */
+    data class Unfit(val version: WeightVersion) : ItemOutcome
+
     /** The run broke off; the text so far is held. */
     data class Broken(val reason: String) : ItemOutcome
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -39,7 +39,7 @@
                 ItemOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
                 is ItemOutcome.Broken -> load.failed(clock.monotonicMillis())
                 is ItemOutcome.NotRun -> load.failed(clock.monotonicMillis())
-                ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled -> Unit
+                is ItemOutcome.Unfit, ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled -> Unit
             }
             return outcome
         } finally {
@@ -85,7 +85,7 @@
             head.status == IMPOSSIBLE -> ItemOutcome.Impossible
             head.status >= FIRST_ERROR && facts.genuine -> ItemOutcome.ErrorAnswer
             head.status != OK || !facts.genuine || version == null -> ItemOutcome.Broken("status ${head.status}")
-            !batch.fits(item, version) -> ItemOutcome.NotRun("version ${version.value} does not fit")
+            !batch.fits(item, version) -> ItemOutcome.Unfit(version)
             else -> collect(batch, item, version, parts)
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -81,7 +81,8 @@
         id: BatchId,
         ownership: BatchOwnership,
     ): Boolean {
-        val registered = parts.board.members.read().find(ownership.owner, ownership.incarnation) != null
+        // A process whose VM is emptied stays registered, but not as ready.
+        val registered = parts.board.members.read().find(ownership.owner, ownership.incarnation)?.ready ?: false
         val ours = ownership.owner == parts.self().id
         return !ownership.ended && (ours || !registered) && owner.find(id) == null && !submissions.isUnderWay(id)
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphansTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphansTest.kt
@@ -22,7 +22,7 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class OrphansTest {
     private val fixture = BatchFixture()
-    private val other = GatewayMember(NodeId("gone"), 1, DataCentre("x"), "gone:1")
+    private val other = GatewayMember(NodeId("gone"), 1, DataCentre("x"), "gone:1", ready = true)
 
     @AfterEach
     fun close(): Unit = fixture.close()
@@ -68,6 +68,18 @@
         expectThat(found.owner.value).isEqualTo(if (adopted) "self" else owner)
     }
 
+    @Test
+    fun `an owner that is registered as not ready has given its batches up`() =
+        runTest(fixture.dispatcher) {
+            val batches = fixture.batches(this)
+            fixture.know(batches, other)
+            fixture.own(owner = "gone", incarnation = 1)
+            fixture.peers.connect("gone:1") { _, _ -> Alive(0) }
+            fixture.know(batches, other.copy(ready = false))
+            pass(5_000)
+            expectThat(adoptions()).hasSize(1)
+        }
+
     @Test
     fun `an owner that answered without a registration is asked again until it is gone`() =
         runTest(fixture.dispatcher) {
