Try several relays to the key-value service, the one that worked last first

Cause: a process that the service turns away picked one other process at random for each call and waited 800 ms for it. Ruled out: shorter time-outs alone, since a slow service needs some hundred milliseconds. Change: the relay that worked last is asked first, those that failed in the last 3 s last; a call that may be repeated is sent to the next relay after 100 ms, up to four. A write is passed on only after a relay that never got it. A lease that a relay reports as ended no longer counts as a failure of the relay. Before and after: RelayedStoreTest has the case of eight relays cut off and one that works.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayPath.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayPath.kt
@@ -1,14 +1,12 @@
 package bergamotwall.gateway.store
 
-import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.model.NodeId
 import bergamotwall.model.PeerMessage
 import bergamotwall.peers.PeerClient
 import bergamotwall.runtime.Clock
-import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
@@ -25,12 +23,13 @@
  * again if that fails too. Safe for many threads.
  */
 internal class RelayPath(
-    private val self: NodeId,
-    private val members: () -> MemberList,
-    private val peers: PeerClient,
+    self: NodeId,
+    members: () -> MemberList,
+    peers: PeerClient,
     private val clock: Clock,
-    private val random: Random,
+    random: Random,
 ) {
+    private val relays = Relays(self, members, peers, clock, random)
     private val relayUntilMillis = AtomicLong(DIRECT)
     private val failures = MutableStateFlow(0)
     private val noRelayUntilMillis = AtomicLong(DIRECT)
@@ -65,32 +64,24 @@
             }.also { coroutineContext.cancelChildren() }
         }
 
-    /** A relay does not reach the service either: calls go directly for a while. */
-    fun relayFailed() {
-        noRelayUntilMillis.set(clock.monotonicMillis() + RELAY_MILLIS)
-    }
-
-    /** Sends [message] to another process, which may take [waitMillis] longer than usual. */
+    /**
+     * Sends [message] through another process, which may take [waitMillis] longer than usual; through several if it is
+     * [repeatable].
+     */
     suspend fun ask(
         message: PeerMessage,
         waitMillis: Long,
-    ): Result<PeerMessage, String> {
-        val relay = choose()
-        if (relay == null) {
-            relayFailed()
-            return Err("no other process is known")
-        }
-        return peers
-            .ask(relay.peerAddress, message, waitMillis + TIMEOUT_MILLIS)
-            .mapError {
-                relayFailed()
-                it.detail
+        repeatable: Boolean,
+    ): Result<PeerMessage, RelayFailure> {
+        val timeoutMillis = waitMillis + TIMEOUT_MILLIS
+        // A call that waits by itself says nothing by being slow.
+        val answer =
+            if (waitMillis > 0) {
+                relays.ask(message, timeoutMillis, repeatable, hedgeMillis = timeoutMillis)
+            } else {
+                relays.ask(message, timeoutMillis, repeatable)
             }
-    }
-
-    private fun choose(): GatewayMember? {
-        val others = members().members.values.filter { it.id != self }
-        return if (others.isEmpty()) null else others.random(random)
+        return answer.onFailure { noRelayUntilMillis.set(clock.monotonicMillis() + RELAY_MILLIS) }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
@@ -11,6 +11,7 @@
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.StoreChanges
+import bergamotwall.model.StoreCommit
 import bergamotwall.model.StoreCommitted
 import bergamotwall.model.StoreEntries
 import bergamotwall.model.StoreFailure
@@ -24,7 +25,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
-import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.flow.Flow
 import org.tinylog.Logger
 
@@ -112,19 +112,16 @@
         waitMillis: Long,
         decode: (PeerMessage) -> Found<T>?,
     ): Result<T, KeyValueError> =
-        path.ask(message, waitMillis)
-            .mapError { detail -> KeyValueError.Unavailable("no relay: $detail", mayHaveApplied = true) }
-            .fold(
-                success = { answer ->
-                    if (answer is StoreFailure) {
-                        path.relayFailed()
-                        Err(errorOf(answer))
-                    } else {
-                        decode(answer)?.let { Ok(it.value) } ?: unexpected(answer)
-                    }
-                },
-                failure = { Err(it) },
-            )
+        path.ask(message, waitMillis, repeatable = message !is StoreCommit).fold(
+            success = { answer ->
+                if (answer is StoreFailure) {
+                    Err(errorOf(answer))
+                } else {
+                    decode(answer)?.let { Ok(it.value) } ?: unexpected(answer)
+                }
+            },
+            failure = { Err(KeyValueError.Unavailable("no relay: ${it.detail}", it.mayHaveArrived)) },
+        )
 }
 
 private fun unexpected(answer: PeerMessage): Result<Nothing, KeyValueError> {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
@@ -12,22 +12,30 @@
 import bergamotwall.model.DataCentre
 import bergamotwall.model.Done
 import bergamotwall.model.NodeId
+import bergamotwall.model.PeerMessage
+import bergamotwall.peers.PeerClient
+import bergamotwall.peers.PeerError
 import bergamotwall.standins.fakes.CallFault
 import bergamotwall.standins.fakes.ManualClock
 import bergamotwall.standins.fakes.MemoryKeyValueStore
 import bergamotwall.standins.fakes.MemoryPeers
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isTrue
 import kotlin.random.Random
 
@@ -105,6 +113,36 @@
             expectThat(found.await().get()?.revision).isEqualTo(7L)
         }
 
+    @Test
+    fun `calls find a process that reaches the service among many that are cut off`() =
+        runTest {
+            val cut = (1..8).map { GatewayMember(NodeId("cut$it"), 1, DataCentre("x"), "cut$it:1") }
+            val silence =
+                object : PeerClient by peers {
+                    override suspend fun ask(
+                        address: String,
+                        message: PeerMessage,
+                        timeoutMillis: Long,
+                        trace: String?,
+                    ): Result<PeerMessage, PeerError> {
+                        if (!address.startsWith("cut")) return peers.ask(address, message, timeoutMillis, trace)
+                        delay(timeoutMillis)
+                        return Err(PeerError.NoAnswer(address))
+                    }
+                }
+            val all = MemberList(members + cut.associateBy { it.id })
+            val cutOff = RelayedStore(own, feed, RelayPath(NodeId("self"), { all }, silence, clock, Random(5)))
+            own.down = true
+            val lease = others.grantLease(2).get()!!
+            var renewed = 0
+            // A duty renews its lease three times in its two seconds, and keeps it if one of these works.
+            repeat(12) {
+                withTimeoutOrNull(700) { if (cutOff.keepAlive(lease).isOk) renewed++ }
+                clock.advance(700)
+            }
+            expectThat(renewed).isGreaterThan(8)
+        }
+
     private fun put(
         key: String,
         value: String,
