Serve metrics; renew leases through relays; make silent peer connections anew

A renewal whose direct answer was missing counted as possibly applied and was not relayed, though it may be repeated; each probe of the direct way held a call for 500 ms; a peer connection that fell silent was used for ever; and a connection attempt was forgotten when one of several waiting callers gave up. Ruled out: a longer lease, which delays the takeover from a holder that died. Change: all calls but transactions are relayed after a missing answer; while the direct way is in doubt a call gives it 150 ms; a connection that stays silent through a call's time-out is closed; a connection attempt ends only by its own time-out. Counters, a latency histogram and gauges at /metrics of the settings' metricsAddress.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -56,6 +56,9 @@
     /** Its decisions. */
     public val journal: Journal = Journal(settings.id, drivers.clock)
 
+    /** Its counters and histograms. */
+    public val metrics: GatewayMetrics = GatewayMetrics()
+
     private val random = Random(incarnation xor settings.id.value.hashCode().toLong())
     private val loads = TargetLoads()
     private val relay = StoreRelay(drivers.store, drivers.feed)
@@ -86,6 +89,7 @@
                 random,
                 journal,
                 settings.dataCentre,
+                metrics,
             ),
             settings.forward,
         )
@@ -104,6 +108,7 @@
                 drivers.clock,
                 random,
                 journal,
+                metrics,
             ),
             settings.batches,
             scope,
@@ -118,7 +123,7 @@
     ) { section -> changed(section) }
     private val weights =
         WeightRollout(
-            WeightParts(settings.id, board, drivers.orders, drivers.clock, journal),
+            WeightParts(settings.id, board, drivers.orders, drivers.clock, journal, metrics),
             Duty(
                 "weights",
                 DutyParts(settings.id, store, drivers.clock, journal),
@@ -133,6 +138,16 @@
         ) { batches.release() }
     private var peerServer: PeerServer? = null
 
+    init {
+        metrics.gauge("targets", "Registered targets.") { board.targets.read().targets.size }
+        metrics.gauge("members", "Registered processes.") { board.members.read().members.size }
+        metrics.gauge("configuration_revision", "Configuration in force.") { board.routes.read().revision.value }
+        metrics.gauge("ready", "1 if the process takes work.") { if (ready) 1 else 0 }
+        metrics.gauge("connections_opened", "Connections to targets opened since the start.") {
+            drivers.client.connectionsOpened
+        }
+    }
+
     /** Starts all work. */
     public fun start() {
         peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> answer(message) })
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -19,6 +19,8 @@
     val frontAddress: String? = null,
     /** Where the readiness check and the address directory are asked, if not at [frontAddress]. */
     val operationsAddresses: List<String> = emptyList(),
+    /** Where metrics are served, at `/metrics`; null for nowhere. */
+    val metricsAddress: String? = null,
     val logLevel: String = "info",
     /** Threads of the request path; more than the VM's processors only cost switches. */
     val ioThreads: Int = 1,
@@ -69,7 +71,10 @@
     check(settings.dataCentre.value.isNotBlank(), "dataCentre", "is blank", "name the VM's data centre")
     val addresses =
         listOf("peerAddress" to settings.peerAddress, "keyValueAddress" to settings.keyValueAddress) +
-            listOfNotNull(settings.frontAddress?.let { "frontAddress" to it }) +
+            listOfNotNull(
+                settings.frontAddress?.let { "frontAddress" to it },
+                settings.metricsAddress?.let { "metricsAddress" to it },
+            ) +
             settings.operationsAddresses.map { "operationsAddresses" to it }
     addresses.forEach { (field, address) ->
         check(isAddress(address), field, "is not host:port", "use for example 10.0.0.5:8080")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.gateway.GatewayBoard
+import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.routes.Route
@@ -37,6 +38,7 @@
     public val clock: Clock,
     public val random: Random,
     public val journal: Journal,
+    public val metrics: GatewayMetrics,
 )
 
 /**
@@ -49,7 +51,13 @@
     scope: CoroutineScope,
     private val loop: CoroutineDispatcher,
 ) {
-    private val context = DispatchContext(parts.clock, parts.random, parts.journal, parts.self().dataCentre)
+    private val context = DispatchContext(
+        parts.clock,
+        parts.random,
+        parts.journal,
+        parts.self().dataCentre,
+        parts.metrics
+    )
     private val store = BatchStore(parts.store)
     private val runner = ItemRunner(parts.client, parts.protocol, parts.loads, parts.clock, settings.silenceMillis)
     private val loopScope = CoroutineScope(scope.coroutineContext + loop)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -4,6 +4,7 @@
 import bergamotwall.decisions.WaitingItem
 import bergamotwall.decisions.assignItems
 import bergamotwall.decisions.backoffMillis
+import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.gateway.targets.TargetLoads
@@ -139,6 +140,7 @@
         outcome: ItemOutcome,
     ) {
         val item = work.item
+        context.metrics.attempted(outcome.javaClass.simpleName)
         context.journal.record(
             Decision(
                 subject = "item/${item.spec.id.value}",
@@ -186,4 +188,5 @@
     val random: Random,
     val journal: Journal,
     val dataCentre: DataCentre,
+    val metrics: GatewayMetrics,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
@@ -41,6 +41,7 @@
         route: Route,
     ): SubmitOutcome {
         val outcome = counted(record.id) { create(record, route) }
+        parts.metrics.submitted(route.name, outcome.javaClass.simpleName)
         parts.journal.record(
             Decision(
                 subject = "batch/${record.id.value}",
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.decisions.chooseTarget
 import bergamotwall.gateway.GatewayBoard
+import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
@@ -34,6 +35,7 @@
     public val random: Random,
     public val journal: Journal,
     public val dataCentre: DataCentre,
+    public val metrics: GatewayMetrics,
 )
 
 /**
@@ -106,6 +108,8 @@
         fun notRun(reason: String): ForwardOutcome = ForwardOutcome.NotRun(reason, limits.retryAfterMillis)
 
         fun record(outcome: ForwardOutcome) {
+            val tookMillis = parts.clock.monotonicMillis() - startedAtMillis
+            parts.metrics.answered(route.name, outcome, tookMillis)
             parts.journal.record(
                 Decision(
                     subject = "request/${request.id.value}",
@@ -115,7 +119,7 @@
                     inputs =
                     "configuration ${parts.board.routes.read().revision.value}, service ${service.value}, " +
                         "targets ${tried.joinToString(",") { it.value }}, " +
-                        "took ${parts.clock.monotonicMillis() - startedAtMillis} ms",
+                        "took $tookMillis ms",
                 ),
             )
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayPath.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayPath.kt
@@ -40,6 +40,10 @@
         return nowMillis >= relayUntilMillis.get() || nowMillis < noRelayUntilMillis.get()
     }
 
+    /** Whether the last direct call failed, and relays have not failed since. */
+    val doubtful: Boolean
+        get() = relayUntilMillis.get() != DIRECT && clock.monotonicMillis() >= noRelayUntilMillis.get()
+
     /** A direct call was answered. */
     fun directWorks() {
         if (relayUntilMillis.getAndSet(DIRECT) != DIRECT) Logger.info("event={}", "store_direct")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
@@ -26,6 +26,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 
 /**
@@ -98,21 +99,24 @@
         waitMillis: Long,
         decode: (PeerMessage) -> Found<T>?,
     ): Result<T, KeyValueError> {
+        val repeatable = message !is StoreCommit
         if (path.directFirst()) {
-            val own = direct()
+            val probe = repeatable && waitMillis == 0L && path.doubtful
+            val own = if (probe) withTimeoutOrNull(PROBE_MILLIS) { direct() } ?: Err(slow) else direct()
             val error = own.fold({ null }, { it as? KeyValueError.Unavailable })
             if (error == null) path.directWorks() else if (error !== givenUp) path.directFailed()
-            if (error == null || error.mayHaveApplied) return own
+            if (error == null || error.mayHaveApplied && !repeatable) return own
         }
-        return relayed(message, waitMillis, decode)
+        return relayed(message, waitMillis, repeatable, decode)
     }
 
     private suspend fun <T> relayed(
         message: PeerMessage,
         waitMillis: Long,
+        repeatable: Boolean,
         decode: (PeerMessage) -> Found<T>?,
     ): Result<T, KeyValueError> =
-        path.ask(message, waitMillis, repeatable = message !is StoreCommit).fold(
+        path.ask(message, waitMillis, repeatable).fold(
             success = { answer ->
                 if (answer is StoreFailure) {
                     Err(errorOf(answer))
@@ -129,4 +133,9 @@
     return Err(KeyValueError.Unavailable("unexpected answer of a relay", mayHaveApplied = true))
 }
 
+/** What a call gets to show that the service answers again; the others are relayed meanwhile. */
+private const val PROBE_MILLIS = 150L
+
+private val slow = KeyValueError.Unavailable("no answer in $PROBE_MILLIS ms", mayHaveApplied = false)
+
 private val givenUp = KeyValueError.Unavailable("another call was not answered", mayHaveApplied = false)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -4,6 +4,7 @@
 import bergamotwall.decisions.ModelLoads
 import bergamotwall.decisions.planLoads
 import bergamotwall.gateway.GatewayBoard
+import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.model.ModelName
@@ -26,6 +27,7 @@
     public val orders: WeightOrders,
     public val clock: Clock,
     public val journal: Journal,
+    public val metrics: GatewayMetrics,
 )
 
 /**
@@ -153,6 +155,7 @@
         order: WeightOrder,
     ) {
         val outcome = parts.orders.send(target, order)
+        parts.metrics.ordered(outcome.name)
         parts.journal.record(decisionOf(target, order, outcome))
         when (outcome) {
             OrderOutcome.ACCEPTED -> {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -7,6 +7,7 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.GatewayBoard
+import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.http.AnswerPart
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetRequest
@@ -143,7 +144,19 @@
         board.routes.update { RouteTable(ConfigurationRevision(1), listOf(route)) }
         board.members.update { MemberList(mapOf(self.id to self)) }
         val parts =
-            BatchParts({ self }, board, store, network, client, NoTargets, TargetLoads(), clock, Random(1), journal)
+            BatchParts(
+                self = { self },
+                board = board,
+                store = store,
+                peers = network,
+                client = client,
+                protocol = NoTargets,
+                loads = TargetLoads(),
+                clock = clock,
+                random = Random(1),
+                journal = journal,
+                metrics = GatewayMetrics(),
+            )
         return Batches(parts, BatchSettings(), scope.backgroundScope, dispatcher)
     }
 
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
@@ -4,6 +4,8 @@
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueChanges
 import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
@@ -113,6 +115,18 @@
             expectThat(found.await().get()?.revision).isEqualTo(7L)
         }
 
+    @Test
+    fun `a renewal whose answer is lost is repeated through another process`() =
+        runTest {
+            val lease = others.grantLease(2).get()!!
+            val losing =
+                object : KeyValueStore by own {
+                    override suspend fun keepAlive(lease: LeaseId): Result<Unit, KeyValueError> =
+                        Err(KeyValueError.Unavailable("no answer", mayHaveApplied = true))
+                }
+            expectThat(RelayedStore(losing, feed, path).keepAlive(lease).isOk).isTrue()
+        }
+
     @Test
     fun `calls find a process that reaches the service among many that are cut off`() =
         runTest {
--- a/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
@@ -20,6 +20,8 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
@@ -45,7 +47,10 @@
     ): Result<PeerMessage, PeerError> {
         val connection =
             connect(address, timeoutMillis) ?: return Err(PeerError.Unreachable("$address cannot be reached"))
+        val framesBefore = connection.framesRead
         val answer = withTimeoutOrNull(timeoutMillis) { connection.ask(message, trace) }
+        // A connection may fall silent without a reset; the next call makes a new one.
+        if (answer == null && connection.framesRead == framesBefore) connection.close()
         return if (answer == null) Err(PeerError.NoAnswer("$address did not answer")) else Ok(answer)
     }
 
@@ -62,13 +67,18 @@
         return try {
             val connection = withTimeoutOrNull(timeoutMillis) { pending.await() }
             if (connection == null || connection.closed) connections.remove(address, pending)
+            // A connection that nobody waits for any more must not stay open once it is made.
+            if (connection == null) pending.cancel()
             if (connection?.closed == true) connect(address, timeoutMillis) else connection
         } catch (e: CancellationException) {
-            connections.remove(address, pending)
-            throw e
+            // The caller gave up, or another one that waited longest ended the attempt for all.
+            currentCoroutineContext().ensureActive()
+            Logger.debug("connection to {} given up: {}", address, e.message)
+            null
         } catch (
-            @Suppress("TooGenericExceptionCaught", "SwallowedException") e: Exception,
+            @Suppress("TooGenericExceptionCaught") e: Exception,
         ) {
+            Logger.debug("no connection to {}: {}", address, e.message)
             connections.remove(address, pending)
             null
         }
@@ -97,6 +107,11 @@
     var closed = false
         private set
 
+    /** Frames received so far. */
+    @Volatile
+    var framesRead = 0L
+        private set
+
     init {
         scope.launch { guarded { write() } }
         scope.launch { guarded { read() } }
@@ -138,6 +153,7 @@
         val channel = socket.openReadChannel()
         while (true) {
             val envelope = decodeFrame(channel.readFrame())
+            framesRead++
             waiting[envelope.id]?.complete(envelope.body)
         }
     }
@@ -156,7 +172,7 @@
         }
     }
 
-    private fun close() {
+    fun close() {
         closed = true
         onClosed()
         outgoing.close()
--- a/peers/src/test/kotlin/bergamotwall/peers/PeerSocketsTest.kt
+++ b/peers/src/test/kotlin/bergamotwall/peers/PeerSocketsTest.kt
@@ -17,6 +17,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import java.net.ServerSocket
 import java.net.Socket
 import java.nio.ByteBuffer
 
@@ -40,6 +41,23 @@
             }
         }
 
+    @Test
+    fun `a connection that fell silent is made anew`(): Unit =
+        runBlocking {
+            val silent = ServerSocket(0)
+            val address = "127.0.0.1:${silent.localPort}"
+            PeerClient().use { client ->
+                val first = client.ask(address, StatusQuery, SHORT_TIMEOUT)
+                expectThat(first.getError()).isA<PeerError.NoAnswer>()
+                silent.accept().use {
+                    silent.close()
+                    PeerServer(address, echo).use {
+                        expectThat(client.ask(address, StatusQuery, TIMEOUT).get()).isEqualTo(Done)
+                    }
+                }
+            }
+        }
+
     @Test
     fun `a peer that is gone is unreachable, and reached again when it is back`(): Unit =
         runBlocking {
@@ -90,6 +108,7 @@
 
     private companion object {
         private const val TIMEOUT = 20_000L
+        private const val SHORT_TIMEOUT = 200L
         private const val HOUR = 3_600_000L
     }
 }
