Specify batches beside the other protocols; reset connections in a test without a sleep

Five pairs of assertion and guard: an item stands at one position (creation only if absent, fenced appends, reading what is listed after a takeover), a refusal is true, an accepted batch is kept. Each holds in its scope and has a counterexample without its guard. ScriptedTarget resets its connection once the client has read the body, instead of after 200 ms.

--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/ScriptedTarget.kt
@@ -5,6 +5,8 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
@@ -20,6 +22,7 @@
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val accepted = AtomicInteger()
     private val next = AtomicInteger()
+    private val read = CountDownLatch(1)
 
     val port: Int get() = server.localPort
 
@@ -39,6 +42,11 @@
         }
     }
 
+    /** The client has read some of the body. */
+    fun wasRead() {
+        read.countDown()
+    }
+
     override fun close() {
         server.close()
     }
@@ -61,7 +69,7 @@
         if (index > 0) return
         if (reset) {
             // The client must have read the bytes: a reset overtakes what is still on the way.
-            Thread.sleep(RESET_AFTER_MILLIS)
+            check(read.await(READ_WITHIN_SECONDS, TimeUnit.SECONDS)) { "the client read nothing" }
             socket.setSoLinger(true, 0)
         }
         if (reset || close) socket.close()
@@ -80,6 +88,6 @@
 
     private companion object {
         private const val BACKLOG = 16
-        private const val RESET_AFTER_MILLIS = 200L
+        private const val READ_WITHIN_SECONDS = 10L
     }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
@@ -2,7 +2,6 @@
 
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
-import kotlinx.coroutines.channels.toList
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
@@ -74,7 +73,13 @@
     ): Received =
         runBlocking {
             val request = TargetRequest("POST", "/p", listOf(Header("Id", id)), "x".toByteArray(), Header("Id", id))
-            val parts = withTimeout(10_000) { client.send("127.0.0.1:${target.port}", request).parts.toList() }
+            val parts = ArrayList<AnswerPart>()
+            withTimeout(10_000) {
+                for (part in client.send("127.0.0.1:${target.port}", request).parts) {
+                    if (part is AnswerPart.Body) target.wasRead()
+                    parts += part
+                }
+            }
             val text = parts.filterIsInstance<AnswerPart.Body>().joinToString("") { String(it.bytes) }
             Received(text.takeIf { parts.last() is AnswerPart.End }, parts.last())
         }
--- a/spec/src/test/kotlin/bergamotwall/spec/ProtocolModelTest.kt
+++ b/spec/src/test/kotlin/bergamotwall/spec/ProtocolModelTest.kt
@@ -16,6 +16,8 @@
         "receipts, Works",
         "receipts, TakesOver",
         "service, Works",
+        "batches, Works",
+        "batches, TakesOver",
     )
     fun `the model can do its work`(
         model: String,
@@ -46,6 +48,11 @@
         "service, WholeAnswer, own whole answer, whole",
         "service, LeavingGetsNoWork, leaving targets, leaving",
         "service, StopCutsNothing, graceful stop, drained",
+        "batches, ListedOnce, one position, fence",
+        "batches, ListedOnce, one position, read",
+        "batches, ListedOnce, one position, absent",
+        "batches, RefusalIsTrue, not run is true, settled",
+        "batches, AcceptedIsKept, accepted is kept, durable",
     )
     fun `assertions hold and are not vacuous`(
         model: String,
