Ask a target that refuses again soon, by one request at a time

Cause: each refusal counted as a failure, and each failure doubled the time for which the target got no work. An engine that loads weights refuses for 0.9 s; sixteen items refused together closed it for three seconds, and each item waited longer after each refusal. Ruled out: more slots assumed than engines have (the load they state agrees). Change: a refusal closes a target for 150 ms, and until it answers it gets one request at a time; failures while it is closed count once; an answer that begins opens it. An item that found a target full is placed again after 50 ms.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -103,7 +103,8 @@
                 if (item.errorAnswers >= batch.route.maxAttempts) batch.complete(item, failed = true)
                 retryLater(item, target)
             }
-            is ItemOutcome.NotRun, is ItemOutcome.Broken -> retryLater(item, target)
+            is ItemOutcome.NotRun -> retryLater(item, target, outcome.full)
+            is ItemOutcome.Broken -> retryLater(item, target)
             is ItemOutcome.Unfit -> {
                 // No target may ever have the version of the text held again.
                 if (outcome.version >= batch.record.minVersion) item.restart()
@@ -117,11 +118,13 @@
     private fun retryLater(
         item: ItemState,
         target: Target,
+        full: Boolean = false,
     ) {
         item.lastFailed = target.id
-        item.notBeforeMillis = context.clock.monotonicMillis() + backoffMillis(item.attempts, context.random)
+        val pauseMillis = if (full) FULL_PAUSE_MILLIS else backoffMillis(++item.failures, context.random)
+        item.notBeforeMillis = context.clock.monotonicMillis() + pauseMillis
         scope.launch {
-            delay(item.notBeforeMillis - context.clock.monotonicMillis())
+            delay(pauseMillis)
             wake()
         }
     }
@@ -179,6 +182,9 @@
     private companion object {
         /** A change that nobody announced, such as the end of a target's backoff, is noticed within this time. */
         private const val PERIOD_MILLIS = 250L
+
+        /** An item that found a target full goes elsewhere at once; one that finds all full waits for a probe. */
+        private const val FULL_PAUSE_MILLIS = 50L
     }
 }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
@@ -13,8 +13,8 @@
     /** The target answered that the item can never be done. */
     data object Impossible : ItemOutcome
 
-    /** The target did not run it. */
-    data class NotRun(val reason: String) : ItemOutcome
+    /** The target did not run it; [full] if it has no slot free now or loads weights. */
+    data class NotRun(val reason: String, val full: Boolean = false) : ItemOutcome
 
     /** The target's weights are none that the batch allows, or none that may go on with the text held. */
     data class Unfit(val version: WeightVersion) : ItemOutcome
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -30,7 +30,7 @@
     ): ItemOutcome {
         val load = loads.of(target.id)
         val sentAtMillis = clock.monotonicMillis()
-        load.sent()
+        load.sent(sentAtMillis)
         val exchange = client.send(target.address, protocol.request(callOf(batch.record, item), target))
         item.exchange = exchange
         try {
@@ -38,7 +38,12 @@
             when (outcome) {
                 ItemOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
                 is ItemOutcome.Broken -> load.failed(clock.monotonicMillis())
-                is ItemOutcome.NotRun -> load.failed(clock.monotonicMillis())
+                is ItemOutcome.NotRun ->
+                    if (outcome.full) {
+                        load.refused(clock.monotonicMillis())
+                    } else {
+                        load.failed(clock.monotonicMillis())
+                    }
                 is ItemOutcome.Unfit, ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled -> Unit
             }
             return outcome
@@ -79,9 +84,10 @@
     ): ItemOutcome {
         val facts = protocol.read(head)
         facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
+        if (facts.genuine && !facts.notRun) loads.of(target.id).answering()
         val version = facts.version?.let { WeightVersion(it) }
         return when {
-            facts.notRun -> ItemOutcome.NotRun("status ${head.status}")
+            facts.notRun -> ItemOutcome.NotRun("status ${head.status}", facts.full)
             head.status == IMPOSSIBLE -> ItemOutcome.Impossible
             head.status >= FIRST_ERROR && facts.genuine -> ItemOutcome.ErrorAnswer
             head.status != OK || !facts.genuine || version == null -> ItemOutcome.Broken("status ${head.status}")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -17,6 +17,9 @@
 
     var errorAnswers = 0
     var attempts = 0
+
+    /** Attempts that failed, rather than found no slot. */
+    var failures = 0
     var running = false
     var done = false
     var notBeforeMillis = 0L
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptOutcome.kt
@@ -11,8 +11,8 @@
     /** The head of a stream; its parts follow on [exchange]. */
     class Started(val head: AnswerPart.Head, val exchange: TargetExchange) : AttemptOutcome
 
-    /** The target did not run it. */
-    data class NotRun(val reason: String) : AttemptOutcome
+    /** The target did not run it; [full] if it has no slot free now or loads weights. */
+    data class NotRun(val reason: String, val full: Boolean = false) : AttemptOutcome
 
     /** It may have run. */
     data class Broken(val reason: String) : AttemptOutcome
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -27,7 +27,7 @@
     ): AttemptOutcome {
         val load = loads.of(target.id)
         val sentAtMillis = clock.monotonicMillis()
-        load.sent()
+        load.sent(sentAtMillis)
         val leftMillis = (deadlineAtMillis - sentAtMillis).coerceAtLeast(1)
         val call =
             TargetCall(request.id.value, request.method, request.path, request.headers, request.body, leftMillis)
@@ -38,7 +38,13 @@
             when (outcome) {
                 is AttemptOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
                 is AttemptOutcome.Started -> streaming = true
-                is AttemptOutcome.NotRun, is AttemptOutcome.Broken -> load.failed(clock.monotonicMillis())
+                is AttemptOutcome.NotRun ->
+                    if (outcome.full) {
+                        load.refused(clock.monotonicMillis())
+                    } else {
+                        load.failed(clock.monotonicMillis())
+                    }
+                is AttemptOutcome.Broken -> load.failed(clock.monotonicMillis())
             }
             return outcome
         } finally {
@@ -66,8 +72,9 @@
     ): AttemptOutcome {
         val facts = protocol.read(head)
         facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
+        if (facts.genuine && !facts.notRun) loads.of(target.id).answering()
         return when {
-            facts.notRun -> AttemptOutcome.NotRun("status ${head.status}")
+            facts.notRun -> AttemptOutcome.NotRun("status ${head.status}", facts.full)
             !facts.genuine -> AttemptOutcome.Broken("unsigned status ${head.status}")
             stream && head.status == OK -> AttemptOutcome.Started(head, exchange)
             else -> whole(exchange, head)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.targets
 
 import bergamotwall.decisions.CandidateTarget
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
@@ -12,13 +13,15 @@
     private val failures = AtomicInteger()
     private val closedUntilMillis = AtomicLong()
     private val latencyMillis = AtomicLong()
+    private val probing = AtomicBoolean()
 
     /** Requests that this process has at the target. */
     public val ownRequests: Int get() = outstanding.get()
 
-    /** Counts a request that is sent. */
-    public fun sent() {
+    /** Counts a request that is sent at [nowMillis]. A target that refused the last one gets one at a time. */
+    public fun sent(nowMillis: Long) {
         outstanding.incrementAndGet()
+        if (probing.get()) closeUntil(nowMillis + PROBE_MILLIS)
     }
 
     /** Counts a request that ended. */
@@ -35,18 +38,37 @@
         foreignAtMillis.set(nowMillis)
     }
 
-    /** Records a sound answer after [millis]. */
-    public fun succeeded(millis: Long) {
+    /** Records the beginning of a sound answer. */
+    public fun answering() {
+        probing.set(false)
         failures.set(0)
         closedUntilMillis.set(0)
+    }
+
+    /** Records a whole answer after [millis]. */
+    public fun succeeded(millis: Long) {
         latencyMillis.updateAndGet { old -> if (old == 0L) millis else old + (millis - old) / SMOOTHING }
     }
 
-    /** Records a failure at [nowMillis]: the target gets no new work for a time that doubles with each one in a row. */
+    /** Records at [nowMillis] that the target is full, or loads weights: it is asked again soon, by one request. */
+    public fun refused(nowMillis: Long) {
+        probing.set(true)
+        closeUntil(nowMillis + PROBE_MILLIS)
+    }
+
+    /**
+     * Records a failure at [nowMillis]: the target gets no new work for a time that doubles with each one in a row.
+     * Requests that fail while it is closed were sent before, and tell nothing new.
+     */
     public fun failed(nowMillis: Long) {
+        if (failures.get() > 0 && nowMillis < closedUntilMillis.get()) return
         val backoffMillis =
             minOf(MAX_BACKOFF_MILLIS, FIRST_BACKOFF_MILLIS shl minOf(failures.getAndIncrement(), MAX_SHIFT))
-        closedUntilMillis.set(nowMillis + backoffMillis)
+        closeUntil(nowMillis + backoffMillis)
+    }
+
+    private fun closeUntil(untilMillis: Long) {
+        closedUntilMillis.accumulateAndGet(untilMillis, ::maxOf)
     }
 
     /** The target as the placement policy sees it at [nowMillis]. */
@@ -56,10 +78,11 @@
         nowMillis: Long,
     ): CandidateTarget {
         val foreignNow = if (nowMillis - foreignAtMillis.get() < FOREIGN_VALID_MILLIS) foreign.get() else 0
+        val running = outstanding.get() + foreignNow
         return CandidateTarget(
             id = target.id,
-            slots = target.slots,
-            running = outstanding.get() + foreignNow,
+            slots = if (probing.get()) minOf(target.slots, running + 1) else target.slots,
+            running = running,
             local = local,
             open = nowMillis >= closedUntilMillis.get(),
             latencyMillis = latencyMillis.get(),
@@ -70,6 +93,9 @@
         /** Weight of a new latency, one part in this many: forgets a slow spell after some ten answers. */
         private const val SMOOTHING = 4
 
+        /** Weights load in about a second, and a slot comes free in less: a sixth of that is lost at most. */
+        private const val PROBE_MILLIS = 150L
+
         /** A single lost answer should cost a target no more than a few requests. */
         private const val FIRST_BACKOFF_MILLIS = 200L
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -35,11 +35,12 @@
 
 /**
  * What the head of an answer states. [notRun]: the target did not run the request. [genuine]: the answer is signed by a
- * target. [version]: weights that make the text, for engines.
+ * target. [version]: weights that make the text, for engines. [full]: it has no slot free now, or loads weights.
  */
 public data class AnswerFacts(
     val notRun: Boolean,
     val genuine: Boolean,
     val load: ReportedLoad?,
     val version: Long?,
+    val full: Boolean = false,
 )
