Run every batch that stands, also one whose creation nobody saw end

Cause: the creation of a batch ended with the call that brought it. A caller or a peer that went away in the middle, or an answer of the service that never came, left a record that named this process, which lived and did not run the batch; the next submission found the batch and was told that it is accepted. Ruled out: the search for orphans as it was, which starts with a change of the members only. Change: a creation goes on in the process's own scope; one that is unclear, or found to exist under this process's name, is searched for for ten seconds.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -66,7 +66,7 @@
             ItemDispatcher(loopScope, { parts.board.targets.read() }, parts.loads, runner, context, onDone)
         }
     private val remote = RemoteBatches(parts, store, settings.pageChars)
-    private val submissions = Submissions(parts, settings, owner, remote)
+    private val submissions = Submissions(loopScope, parts, settings, owner, remote) { orphans.expect(it) }
     private val acceptance = Acceptance(parts, settings, owner, submissions)
     private val answers = BatchAnswers(owner, acceptance, settings.pageChars)
     private val orphans = Orphans(loopScope, parts, store, owner, submissions)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -35,6 +35,7 @@
     private val asked = Channel<Unit>(Channel.CONFLATED)
     private val lastAddress = HashMap<NodeId, String>()
     private val seenAtMillis = HashMap<BatchId, Long>()
+    private val expectedUntilMillis = HashMap<BatchId, Long>()
 
     /** Batches that no route in force serves; they wait for a change of the routes, not of the members. */
     private val unroutable = HashSet<BatchId>()
@@ -54,6 +55,12 @@
         asked.trySend(Unit)
     }
 
+    /** Batch [id] may stand as owned by this process, now or soon, without being run: it is searched for until then. */
+    fun expect(id: BatchId) {
+        expectedUntilMillis[id] = parts.clock.monotonicMillis() + LATE_WRITE_MILLIS
+        asked.trySend(Unit)
+    }
+
     /** Asks for a search if a batch waits for a route. */
     fun routesChanged() {
         if (unroutable.isEmpty()) return
@@ -74,7 +81,8 @@
         val nowMillis = parts.clock.monotonicMillis()
         seenAtMillis.keys.retainAll(suspects.keys)
         suspects.keys.forEach { seenAtMillis.putIfAbsent(it, nowMillis) }
-        return suspects.count { (id, found) -> !takes(id, found, nowMillis) } > 0
+        expectedUntilMillis.entries.removeIf { (id, until) -> until <= nowMillis || owner.find(id) != null }
+        return suspects.count { (id, found) -> !takes(id, found, nowMillis) } > 0 || expectedUntilMillis.isNotEmpty()
     }
 
     private fun isSuspect(
@@ -150,6 +158,9 @@
         /** Several round trips between data centres. */
         private const val ALIVE_TIMEOUT_MILLIS = 500L
 
+        /** A write whose answer was lost may take effect seconds later. */
+        private const val LATE_WRITE_MILLIS = 10_000L
+
         /** Half of what a lease takes to lapse; one listing in this time is a small part of what a process asks. */
         private const val RECHECK_MILLIS = 1_500L
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
@@ -5,15 +5,23 @@
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
 import bergamotwall.runtime.Decision
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 
-/** Accepts batches: makes them durable and hands them to [owner]. Confined to the batch loop. */
+/**
+ * Accepts batches: makes them durable and hands them to [owner]. A creation goes on when its caller goes away, as it
+ * may take effect; [onUnsettled] is told of one that may, and is not run. Confined to the batch loop, which [scope]
+ * runs on.
+ */
 internal class Submissions(
+    private val scope: CoroutineScope,
     private val parts: BatchParts,
     private val settings: BatchSettings,
     private val owner: BatchOwner,
     private val remote: RemoteBatches,
+    private val onUnsettled: (BatchId) -> Unit,
 ) {
     private val creator = BatchCreator(parts.store, settings.partChars)
     private val underWay = MutableStateFlow(emptyList<BatchId>())
@@ -40,7 +48,7 @@
         record: BatchRecord,
         route: Route,
     ): SubmitOutcome {
-        val outcome = counted(record.id) { create(record, route) }
+        val outcome = scope.async { counted(record.id) { create(record, route) } }.await()
         parts.metrics.submitted(route.name, outcome.javaClass.simpleName)
         parts.journal.record(
             Decision(
@@ -82,8 +90,13 @@
             )
         val deadlineMillis = parts.clock.monotonicMillis() + settings.acceptMillis
         val outcome = creator.create(record, wanted, Attempts(parts.clock, parts.random, deadlineMillis))
-        if (outcome is CreateOutcome.Created) {
-            owner.take(OwnedBatch(record, outcome.record, route, parts.clock.monotonicMillis(), emptyList()))
+        when (outcome) {
+            is CreateOutcome.Created ->
+                owner.take(OwnedBatch(record, outcome.record, route, parts.clock.monotonicMillis(), emptyList()))
+            // An earlier creation by this process may have taken effect unnoticed.
+            is CreateOutcome.Existed -> if (outcome.record.ownership.owner == self.id) onUnsettled(record.id)
+            is CreateOutcome.Unknown -> onUnsettled(record.id)
+            is CreateOutcome.NotCreated -> Unit
         }
         return outcome
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/AcceptanceTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/AcceptanceTest.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.model.Done
+import bergamotwall.model.EndBatch
 import bergamotwall.model.NotOwner
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
@@ -9,6 +10,8 @@
 import bergamotwall.model.SubmitBatch
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -79,6 +82,31 @@
         expectThat(answer).isEqualTo(if (taken) Done else NotOwner)
     }
 
+    @Test
+    fun `a batch whose caller went away during its creation is run`() =
+        runTest(fixture.dispatcher) {
+            val batches = fixture.batches(this)
+            fixture.writeMillis = 200
+            val submission = launch { batches.submit(fixture.record, fixture.route) }
+            advanceTimeBy(100)
+            submission.cancel()
+            advanceTimeBy(1_000)
+            expectThat(batches.answer(EndBatch(fixture.id))).isEqualTo(Done)
+        }
+
+    @Test
+    fun `a batch whose creation was never confirmed is run if it stands`() =
+        runTest(fixture.dispatcher) {
+            val batches = fixture.batches(this)
+            fixture.answersLost = true
+            fixture.readsFail = true
+            expectThat(batches.submit(fixture.record, fixture.route)).isA<SubmitOutcome.Unknown>()
+            fixture.answersLost = false
+            fixture.readsFail = false
+            advanceTimeBy(5_000)
+            expectThat(batches.answer(EndBatch(fixture.id))).isEqualTo(Done)
+        }
+
     @Test
     fun `a process that leaves accepts nothing`() =
         runTest(fixture.dispatcher) {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.decisions.ownerOf
+import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueListing
 import bergamotwall.drivers.KeyValueStore
@@ -77,6 +78,15 @@
     /** Whether writes fail, unapplied. */
     var writesFail = false
 
+    /** Whether writes are applied and their answers lost. */
+    var answersLost = false
+
+    /** Whether reads of one key fail. */
+    var readsFail = false
+
+    /** How long a write takes, in milliseconds. */
+    var writeMillis = 0L
+
     private val store =
         object : KeyValueStore by memory {
             override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
@@ -85,8 +95,17 @@
                 return if (listsFail) turnedAway else memory.list(prefix)
             }
 
+            override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
+                if (readsFail) turnedAway else memory.get(key)
+
             override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
-                if (writesFail) turnedAway else memory.commit(transaction)
+                if (writesFail) {
+                    turnedAway
+                } else {
+                    val outcome = memory.commit(transaction)
+                    delay(writeMillis)
+                    if (answersLost) lost else outcome
+                }
         }
 
     /** Other processes. */
@@ -218,6 +237,7 @@
     }
 
     private companion object {
+        private val lost = Err(KeyValueError.Unavailable("answer lost", mayHaveApplied = true))
         private val turnedAway = Err(KeyValueError.Unavailable("turned away", mayHaveApplied = false))
     }
 }
