--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -66,10 +66,10 @@
             ItemDispatcher(loopScope, { parts.board.targets.read() }, parts.loads, runner, context, onDone)
         }
     private val remote = RemoteBatches(parts, store, settings.pageChars)
-    private val submissions = Submissions(loopScope, parts, settings, owner, remote) { orphans.expect(it) }
+    private val submissions: Submissions = Submissions(loopScope, parts, settings, owner, remote) { orphans.expect(it) }
     private val acceptance = Acceptance(parts, settings, owner, submissions)
     private val answers = BatchAnswers(owner, acceptance, settings.pageChars)
-    private val orphans = Orphans(loopScope, parts, store, owner, submissions)
+    private val orphans: Orphans = Orphans(loopScope, parts, store, owner, submissions)
 
     /** Makes [record] durable and has it run, here or at the process that runs the batches of [route]. */
     public suspend fun submit(
