Keep one copy of what stood twice

TargetParts for all work at targets, with the view that placement has of them; keyValueAnswer for both key-value drivers; key and modRevision in Condition; isAddress and LOG_LEVELS; MetricsPage under both sets of metrics; TargetLoad.notRun; silent peers in MemoryPeers instead of three copies in tests.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/Transaction.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/Transaction.kt
@@ -9,11 +9,19 @@
 
 /** Condition of a [Transaction]. */
 public sealed interface Condition {
+    /** The key that it is about. */
+    public val key: String
+
+    /** The last write that the key must have; 0 if it must not exist. */
+    public val modRevision: Long
+
     /** The key must not exist. */
-    public data class Absent(val key: String) : Condition
+    public data class Absent(override val key: String) : Condition {
+        override val modRevision: Long get() = 0
+    }
 
     /** The key's last write must be [modRevision]; 0 if it must not exist. */
-    public data class Unchanged(val key: String, val modRevision: Long) : Condition
+    public data class Unchanged(override val key: String, override val modRevision: Long) : Condition
 }
 
 /** Write of a [Transaction]. */
--- a/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
@@ -7,24 +7,21 @@
 import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.http.keyValueAnswer
 import bergamotwall.model.Jsons
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
-import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
-import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
-import kotlinx.coroutines.future.await
 import kotlinx.coroutines.reactive.collect
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
@@ -119,7 +116,7 @@
         writes: Boolean = false,
     ): Result<A, KeyValueError> {
         val body = Jsons.wire.encodeToString(requestFormat, request)
-        return send(path, body, writes).andThen { answer ->
+        return keyValueAnswer(writes) { client.execute(post(path, body)) }.andThen { answer ->
             val text = answer.contentUtf8()
             when (answer.status().code()) {
                 OK_STATUS -> parse(text, answerFormat, writes)
@@ -130,23 +127,6 @@
         }
     }
 
-    private suspend fun send(
-        path: String,
-        body: String,
-        writes: Boolean,
-    ): Result<AggregatedHttpResponse, KeyValueError> =
-        try {
-            Ok(client.execute(post(path, body)).aggregate().await())
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: UnprocessedRequestException) {
-            Err(KeyValueError.Unavailable("not reached: ${e.cause?.message}", mayHaveApplied = false))
-        } catch (
-            @Suppress("TooGenericExceptionCaught") e: Exception,
-        ) {
-            Err(KeyValueError.Unavailable("no answer: ${e.message}", mayHaveApplied = writes))
-        }
-
     private companion object {
         private val SERVER_ERRORS = 500..599
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -2,7 +2,6 @@
 
 import bergamotwall.gateway.batches.BatchParts
 import bergamotwall.gateway.batches.Batches
-import bergamotwall.gateway.forwarding.ForwardParts
 import bergamotwall.gateway.forwarding.Forwarder
 import bergamotwall.gateway.members.Evacuation
 import bergamotwall.gateway.members.EvacuationParts
@@ -13,6 +12,7 @@
 import bergamotwall.gateway.store.RelayedStore
 import bergamotwall.gateway.store.StoreRelay
 import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.gateway.weights.WeightParts
 import bergamotwall.gateway.weights.WeightRollout
 import bergamotwall.model.Alive
@@ -77,43 +77,25 @@
         get() = !leaving && settings.id !in board.evacuations.read() && board.routes.read().known &&
             following.targetsKnown
 
-    /** Serves callers' requests. */
-    public val forwarder: Forwarder =
-        Forwarder(
-            ForwardParts(
-                board,
-                drivers.client,
-                drivers.protocol,
-                loads,
-                drivers.clock,
-                random,
-                journal,
-                settings.dataCentre,
-                metrics,
-            ),
-            settings.forward,
+    private val work =
+        TargetParts(
+            board = board,
+            client = drivers.client,
+            protocol = drivers.protocol,
+            loads = loads,
+            clock = drivers.clock,
+            random = random,
+            journal = journal,
+            dataCentre = settings.dataCentre,
+            metrics = metrics,
         )
 
+    /** Serves callers' requests. */
+    public val forwarder: Forwarder = Forwarder(work, settings.forward)
+
     /** Serves batches. */
     public val batches: Batches =
-        Batches(
-            BatchParts(
-                ::self,
-                board,
-                store,
-                drivers.peers,
-                drivers.client,
-                drivers.protocol,
-                loads,
-                drivers.clock,
-                random,
-                journal,
-                metrics,
-            ),
-            settings.batches,
-            scope,
-            loop,
-        )
+        Batches(BatchParts(::self, store, drivers.peers, work), settings.batches, scope, loop)
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
     private val following = Following(
         settings,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
@@ -1,29 +1,26 @@
 package bergamotwall.gateway
 
 import bergamotwall.gateway.forwarding.ForwardOutcome
-import io.prometheus.metrics.core.metrics.Counter
+import bergamotwall.runtime.MetricsPage
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 
 /** Counters and latency histograms of one process of the gateway. Safe for many threads. */
 public class GatewayMetrics {
-    private val registry = PrometheusRegistry()
-    private val requests = counter("requests", "Requests of callers that were answered.", "route", "outcome")
-    private val submissions = counter("submissions", "Submissions of batches.", "route", "outcome")
-    private val attempts = counter("item_attempts", "Attempts to run an item of a batch.", "outcome")
-    private val orders = counter("weight_orders", "Orders to load weights.", "outcome")
+    private val page = MetricsPage("bergamotwall_gateway_")
+    private val requests = page.counter("requests", "Requests of callers that were answered.", "route", "outcome")
+    private val submissions = page.counter("submissions", "Submissions of batches.", "route", "outcome")
+    private val attempts = page.counter("item_attempts", "Attempts to run an item of a batch.", "outcome")
+    private val orders = page.counter("weight_orders", "Orders to load weights.", "outcome")
     private val requestSeconds =
         Histogram
             .builder()
-            .name("${PREFIX}request_seconds")
+            .name("${page.prefix}request_seconds")
             .help("Time from a request to its answer.")
             .labelNames("route")
             .classicOnly()
             .classicExponentialUpperBounds(FIRST_BOUND_SECONDS, BOUND_FACTOR, BOUNDS)
-            .register(registry)
+            .register(page.registry)
 
     /** Counts the answer to a request on [route], [millis] after it came. */
     public fun answered(
@@ -55,33 +52,16 @@
     ) {
         GaugeWithCallback
             .builder()
-            .name(PREFIX + name)
+            .name(page.prefix + name)
             .help(help)
             .callback { it.call(value().toDouble()) }
-            .register(registry)
+            .register(page.registry)
     }
 
     /** All metrics in the Prometheus text format. */
-    public fun expose(): String {
-        val out = ByteArrayOutputStream()
-        PrometheusTextFormatWriter(false).write(out, registry.scrape())
-        return out.toString(Charsets.UTF_8)
-    }
-
-    private fun counter(
-        name: String,
-        help: String,
-        vararg labels: String,
-    ): Counter =
-        Counter
-            .builder()
-            .name(PREFIX + name)
-            .help(help)
-            .labelNames(*labels)
-            .register(registry)
+    public fun expose(): String = page.expose()
 
     private companion object {
-        private const val PREFIX = "bergamotwall_gateway_"
         private const val MILLIS_PER_SECOND = 1_000.0
 
         /** Buckets from a fast target beside the entry, 5 ms, to the longest deadline that callers state, 13 s. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -5,7 +5,9 @@
 import bergamotwall.gateway.weights.WeightSettings
 import bergamotwall.model.DataCentre
 import bergamotwall.model.DocumentProblem
+import bergamotwall.model.LOG_LEVELS
 import bergamotwall.model.NodeId
+import bergamotwall.model.isAddress
 import kotlinx.serialization.Serializable
 
 /** Settings of one process of the gateway. Addresses are `host:port`. */
@@ -81,7 +83,7 @@
     }
     check(settings.ioThreads in 1..MAX_THREADS, "ioThreads", "is not 1 to $MAX_THREADS", "use the number of processors")
     check(settings.leaseTtlSeconds >= MIN_LEASE_SECONDS, "leaseTtlSeconds", "is below 2", "use 2 or more")
-    check(settings.logLevel in LEVELS, "logLevel", "is unknown", "use one of $LEVELS")
+    check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return found
@@ -89,10 +91,3 @@
 
 private const val MAX_THREADS = 64
 private const val MIN_LEASE_SECONDS = 2L
-private const val MAX_PORT = 65_535
-private val LEVELS = listOf("trace", "debug", "info", "warn", "error")
-
-private fun isAddress(address: String): Boolean {
-    val port = address.substringAfterLast(':', "").toIntOrNull() ?: return false
-    return address.substringBeforeLast(':').isNotBlank() && port in 1..MAX_PORT
-}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Acceptance.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Acceptance.kt
@@ -42,7 +42,7 @@
 
     /** Accepts [record], which another process handed over. */
     suspend fun answer(record: BatchRecord): PeerMessage {
-        val route = parts.board.routes.read().find(record.host, record.path)?.takeIf { it.kind == RouteKind.BATCH }
+        val route = parts.work.board.routes.read().find(record.host, record.path)?.takeIf { it.kind == RouteKind.BATCH }
         val busy = owner.active().sumOf { it.unfinished } >= settings.homeItems
         if (route == null || busy || !parts.self().ready) return NotOwner
         return when (val outcome = submissions.submit(record, route)) {
@@ -56,7 +56,7 @@
         record: BatchRecord,
         route: Route,
     ): HomeAnswer {
-        val home = homeOf(parts.board.members.read(), route.name)
+        val home = homeOf(parts.work.board.members.read(), route.name)
         if (home == null || home.id == parts.self().id || owner.find(record.id) != null) return HomeAnswer.NOT_TAKEN
         return parts.peers.ask(home.peerAddress, SubmitBatch(record), settings.handOverMillis).fold(
             success = { answer ->
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchOwner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchOwner.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.routes.RouteTable
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.model.BatchId
 import bergamotwall.runtime.Decision
 import com.github.michaelbull.result.fold
@@ -15,7 +16,7 @@
 internal class BatchOwner(
     scope: CoroutineScope,
     private val store: BatchStore,
-    private val context: DispatchContext,
+    private val work: TargetParts,
     private val settings: BatchSettings,
     dispatcherOf: ((OwnedBatch) -> Unit) -> ItemDispatcher,
 ) {
@@ -59,7 +60,7 @@
     suspend fun end(batch: OwnedBatch): EndOutcome {
         if (!batch.ended) stop(batch, "ended by its trainer")
         batch.ended = true
-        val attempts = Attempts(context.clock, context.random, context.clock.monotonicMillis() + settings.acceptMillis)
+        val attempts = Attempts(work.clock, work.random, work.clock.monotonicMillis() + settings.acceptMillis)
         while (attempts.next()) {
             if (batch.owned.ownership.ended) return EndOutcome.Ended
             val next = batch.owned.ownership.copy(ended = true)
@@ -104,7 +105,7 @@
         cause: String,
     ) {
         dispatcher.remove(batch)
-        context.journal.record(
+        work.journal.record(
             Decision("batch/${batch.record.id.value}", "stopped", "no item of it is sent any more", cause),
         )
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -1,13 +1,9 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.drivers.KeyValueStore
-import bergamotwall.gateway.GatewayBoard
-import bergamotwall.gateway.GatewayMetrics
-import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.routes.Route
-import bergamotwall.gateway.targets.TargetLoads
-import bergamotwall.gateway.targets.TargetProtocol
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchPage
 import bergamotwall.model.BatchRecord
@@ -19,26 +15,16 @@
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.ReadBatch
 import bergamotwall.peers.PeerClient
-import bergamotwall.runtime.Clock
-import bergamotwall.runtime.Journal
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withContext
-import kotlin.random.Random
 
-/** What the work on batches needs. */
+/** What the work on batches needs; [work] for their items. */
 public data class BatchParts(
     public val self: () -> GatewayMember,
-    public val board: GatewayBoard,
     public val store: KeyValueStore,
     public val peers: PeerClient,
-    public val client: TargetClient,
-    public val protocol: TargetProtocol,
-    public val loads: TargetLoads,
-    public val clock: Clock,
-    public val random: Random,
-    public val journal: Journal,
-    public val metrics: GatewayMetrics,
+    public val work: TargetParts,
 )
 
 /**
@@ -51,19 +37,12 @@
     scope: CoroutineScope,
     private val loop: CoroutineDispatcher,
 ) {
-    private val context = DispatchContext(
-        parts.clock,
-        parts.random,
-        parts.journal,
-        parts.self().dataCentre,
-        parts.metrics
-    )
     private val store = BatchStore(parts.store)
-    private val runner = ItemRunner(parts.client, parts.protocol, parts.loads, parts.clock, settings.silenceMillis)
+    private val runner = ItemRunner(parts.work, settings.silenceMillis)
     private val loopScope = CoroutineScope(scope.coroutineContext + loop)
     internal val owner =
-        BatchOwner(loopScope, store, context, settings) { onDone ->
-            ItemDispatcher(loopScope, { parts.board.targets.read() }, parts.loads, runner, context, onDone)
+        BatchOwner(loopScope, store, parts.work, settings) { onDone ->
+            ItemDispatcher(loopScope, parts.work, runner, onDone)
         }
     private val remote = RemoteBatches(parts, store, settings.pageChars)
     private val submissions: Submissions = Submissions(loopScope, parts, settings, owner, remote) { orphans.expect(it) }
@@ -121,7 +100,7 @@
     /** Routes have changed. */
     public suspend fun routesChanged(): Unit =
         withContext(loop) {
-            owner.routesChanged(parts.board.routes.read())
+            owner.routesChanged(parts.work.board.routes.read())
             orphans.routesChanged()
         }
 
@@ -139,5 +118,5 @@
         }
 
     private fun attempts() =
-        Attempts(parts.clock, parts.random, parts.clock.monotonicMillis() + settings.acceptMillis)
+        Attempts(parts.work.clock, parts.work.random, parts.work.clock.monotonicMillis() + settings.acceptMillis)
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -4,29 +4,21 @@
 import bergamotwall.decisions.WaitingItem
 import bergamotwall.decisions.assignItems
 import bergamotwall.decisions.backoffMillis
-import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.targets.Target
-import bergamotwall.gateway.targets.TargetList
-import bergamotwall.gateway.targets.TargetLoads
-import bergamotwall.model.DataCentre
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.model.TargetId
-import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Decision
-import bergamotwall.runtime.Journal
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlin.random.Random
 
 /** Gives the items of all owned batches to targets as slots come free. Confined to the batch loop. */
 internal class ItemDispatcher(
     private val scope: CoroutineScope,
-    private val targets: () -> TargetList,
-    private val loads: TargetLoads,
+    private val parts: TargetParts,
     private val runner: ItemRunner,
-    private val context: DispatchContext,
     private val onDone: (OwnedBatch) -> Unit,
 ) {
     private val batches = ArrayList<OwnedBatch>()
@@ -57,16 +49,17 @@
     }
 
     private fun pump() {
-        val nowMillis = context.clock.monotonicMillis()
+        val nowMillis = parts.clock.monotonicMillis()
         val work = batches.filter { it.active }.flatMap { batch -> waitingOf(batch, nowMillis) }
         if (work.isEmpty()) return
-        val list = targets()
+        val list = parts.board.targets.read()
         val services = work.flatMap { it.batch.route.shares }.map { it.service }.distinct()
         val usable = services.flatMap { list.usable(it) }.associateBy { it.id }
-        val candidates =
-            usable.values.map { loads.of(it.id).candidate(it, it.dataCentre == context.dataCentre, nowMillis) }
         val waiting = work.mapIndexed { ticket, item -> item.waiting(ticket, usable.values) }
-        assignItems(waiting, candidates).forEach { assignment -> launch(work[assignment.ticket], assignment, usable) }
+        assignItems(
+            waiting,
+            parts.candidates(usable.values)
+        ).forEach { assignment -> launch(work[assignment.ticket], assignment, usable) }
     }
 
     private fun launch(
@@ -121,8 +114,8 @@
         full: Boolean = false,
     ) {
         item.lastFailed = target.id
-        val pauseMillis = if (full) FULL_PAUSE_MILLIS else backoffMillis(++item.failures, context.random)
-        item.notBeforeMillis = context.clock.monotonicMillis() + pauseMillis
+        val pauseMillis = if (full) FULL_PAUSE_MILLIS else backoffMillis(++item.failures, parts.random)
+        item.notBeforeMillis = parts.clock.monotonicMillis() + pauseMillis
         scope.launch {
             delay(pauseMillis)
             wake()
@@ -143,8 +136,8 @@
         outcome: ItemOutcome,
     ) {
         val item = work.item
-        context.metrics.attempted(outcome.javaClass.simpleName)
-        context.journal.record(
+        parts.metrics.attempted(outcome.javaClass.simpleName)
+        parts.journal.record(
             Decision(
                 subject = "item/${item.spec.id.value}",
                 decision = "attempt ${item.attempts} ended: $outcome",
@@ -187,12 +180,3 @@
         private const val FULL_PAUSE_MILLIS = 50L
     }
 }
-
-/** What the dispatcher of a process decides with. */
-internal class DispatchContext(
-    val clock: Clock,
-    val random: Random,
-    val journal: Journal,
-    val dataCentre: DataCentre,
-    val metrics: GatewayMetrics,
-)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -2,24 +2,18 @@
 
 import bergamotwall.gateway.http.AnswerPart
 import bergamotwall.gateway.http.Header
-import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
-import bergamotwall.gateway.targets.TargetLoads
-import bergamotwall.gateway.targets.TargetProtocol
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.WeightVersion
-import bergamotwall.runtime.Clock
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Base64
 
 /** Runs one attempt of an item at a target and collects its text. Confined to the batch loop. */
 internal class ItemRunner(
-    private val client: TargetClient,
-    private val protocol: TargetProtocol,
-    private val loads: TargetLoads,
-    private val clock: Clock,
+    private val work: TargetParts,
     private val silenceMillis: Long,
 ) {
     /** Sends [item] of [batch] to [target]; text held from earlier attempts is gone on with where its versions fit. */
@@ -28,22 +22,17 @@
         item: ItemState,
         target: Target,
     ): ItemOutcome {
-        val load = loads.of(target.id)
-        val sentAtMillis = clock.monotonicMillis()
+        val load = work.loads.of(target.id)
+        val sentAtMillis = work.clock.monotonicMillis()
         load.sent(sentAtMillis)
-        val exchange = client.send(target.address, protocol.request(callOf(batch.record, item), target))
+        val exchange = work.client.send(target.address, work.protocol.request(callOf(batch.record, item), target))
         item.exchange = exchange
         try {
             val outcome = receive(batch, item, target, exchange.parts)
             when (outcome) {
-                ItemOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
-                is ItemOutcome.Broken -> load.failed(clock.monotonicMillis())
-                is ItemOutcome.NotRun ->
-                    if (outcome.full) {
-                        load.refused(clock.monotonicMillis())
-                    } else {
-                        load.failed(clock.monotonicMillis())
-                    }
+                ItemOutcome.Whole -> load.succeeded(work.clock.monotonicMillis() - sentAtMillis)
+                is ItemOutcome.Broken -> load.failed(work.clock.monotonicMillis())
+                is ItemOutcome.NotRun -> load.notRun(work.clock.monotonicMillis(), outcome.full)
                 is ItemOutcome.Unfit, ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled -> Unit
             }
             return outcome
@@ -82,9 +71,9 @@
         head: AnswerPart.Head,
         parts: ReceiveChannel<AnswerPart>,
     ): ItemOutcome {
-        val facts = protocol.read(head)
-        facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
-        if (facts.genuine && !facts.notRun) loads.of(target.id).answering()
+        val facts = work.protocol.read(head)
+        facts.load?.let { work.loads.of(target.id).reported(it, work.clock.monotonicMillis()) }
+        if (facts.genuine && !facts.notRun) work.loads.of(target.id).answering()
         val version = facts.version?.let { WeightVersion(it) }
         return when {
             facts.notRun -> ItemOutcome.NotRun("status ${head.status}", facts.full)
@@ -102,7 +91,7 @@
         firstVersion: WeightVersion,
         parts: ReceiveChannel<AnswerPart>,
     ): ItemOutcome {
-        val collector = ItemCollector(batch, item, protocol, firstVersion)
+        val collector = ItemCollector(batch, item, work.protocol, firstVersion)
         var outcome: ItemOutcome? = null
         while (outcome == null) {
             outcome =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Orphans.kt
@@ -51,13 +51,13 @@
 
     /** Asks for a search, because members have changed. */
     fun membersChanged() {
-        parts.board.members.read().members.values.forEach { lastAddress[it.id] = it.peerAddress }
+        parts.work.board.members.read().members.values.forEach { lastAddress[it.id] = it.peerAddress }
         asked.trySend(Unit)
     }
 
     /** Batch [id] may stand as owned by this process, now or soon, without being run: it is searched for until then. */
     fun expect(id: BatchId) {
-        expectedUntilMillis[id] = parts.clock.monotonicMillis() + LATE_WRITE_MILLIS
+        expectedUntilMillis[id] = parts.work.clock.monotonicMillis() + LATE_WRITE_MILLIS
         asked.trySend(Unit)
     }
 
@@ -78,7 +78,7 @@
 
     private suspend fun takeFrom(all: Map<BatchId, OwnedRecord>): Boolean {
         val suspects = all.filter { (id, found) -> id !in unroutable && isSuspect(id, found.ownership) }
-        val nowMillis = parts.clock.monotonicMillis()
+        val nowMillis = parts.work.clock.monotonicMillis()
         seenAtMillis.keys.retainAll(suspects.keys)
         suspects.keys.forEach { seenAtMillis.putIfAbsent(it, nowMillis) }
         expectedUntilMillis.entries.removeIf { (id, until) -> until <= nowMillis || owner.find(id) != null }
@@ -90,7 +90,7 @@
         ownership: BatchOwnership,
     ): Boolean {
         // A process whose VM is emptied stays registered, but not as ready.
-        val registered = parts.board.members.read().find(ownership.owner, ownership.incarnation)?.ready ?: false
+        val registered = parts.work.board.members.read().find(ownership.owner, ownership.incarnation)?.ready ?: false
         val ours = ownership.owner == parts.self().id
         return !ownership.ended && (ours || !registered) && owner.find(id) == null && !submissions.isUnderWay(id)
     }
@@ -102,7 +102,7 @@
         nowMillis: Long,
     ): Boolean {
         val overdue = nowMillis - (seenAtMillis[id] ?: nowMillis) >= OVERDUE_MILLIS
-        val mine = overdue || homeOf(parts.board.members.read(), found.ownership.route)?.id == parts.self().id
+        val mine = overdue || homeOf(parts.work.board.members.read(), found.ownership.route)?.id == parts.self().id
         return mine && !answers(found.ownership) && take(id, found)
     }
 
@@ -132,14 +132,14 @@
     ): Boolean {
         val record = store.items(id, owned.ownership).get()
         val listed = store.results(id).get()
-        val route = record?.let { parts.board.routes.read().find(it.host, it.path) }
+        val route = record?.let { parts.work.board.routes.read().find(it.host, it.path) }
         if (record != null && route == null) {
             Logger.warn("event=batch_without_route batch={} path={}", id.value, record.path)
             unroutable += id
         }
         if (record == null || listed == null || route == null) return false
-        owner.take(OwnedBatch(record, owned, route, parts.clock.monotonicMillis(), listed))
-        parts.journal.record(
+        owner.take(OwnedBatch(record, owned, route, parts.work.clock.monotonicMillis(), listed))
+        parts.work.journal.record(
             Decision(
                 "batch/${id.value}",
                 "adopted",
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -40,7 +40,7 @@
         timeoutMillis: Long,
     ): PeerMessage? {
         val known = owners[batch] ?: locate(batch)
-        val member = known?.let { parts.board.members.read().find(it.owner, it.incarnation) }
+        val member = known?.let { parts.work.board.members.read().find(it.owner, it.incarnation) }
         val other = member?.takeUnless { it.id == parts.self().id }
         val answer = other?.let { parts.peers.ask(it.peerAddress, message, timeoutMillis).get() }
         if (answer == null || answer is NotOwner) owners.remove(batch)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Submissions.kt
@@ -49,8 +49,8 @@
         route: Route,
     ): SubmitOutcome {
         val outcome = scope.async { counted(record.id) { create(record, route) } }.await()
-        parts.metrics.submitted(route.name, outcome.javaClass.simpleName)
-        parts.journal.record(
+        parts.work.metrics.submitted(route.name, outcome.javaClass.simpleName)
+        parts.work.journal.record(
             Decision(
                 subject = "batch/${record.id.value}",
                 decision = "submission: $outcome",
@@ -82,17 +82,17 @@
             BatchOwnership(
                 owner = self.id,
                 incarnation = self.incarnation,
-                nonce = parts.random.nextLong().toULong().toString(NONCE_RADIX),
+                nonce = parts.work.random.nextLong().toULong().toString(NONCE_RADIX),
                 parts = 0,
                 total = record.items.size,
-                acceptedAtMillis = parts.clock.wallMillis(),
+                acceptedAtMillis = parts.work.clock.wallMillis(),
                 route = route.name,
             )
-        val deadlineMillis = parts.clock.monotonicMillis() + settings.acceptMillis
-        val outcome = creator.create(record, wanted, Attempts(parts.clock, parts.random, deadlineMillis))
+        val deadlineMillis = parts.work.clock.monotonicMillis() + settings.acceptMillis
+        val outcome = creator.create(record, wanted, Attempts(parts.work.clock, parts.work.random, deadlineMillis))
         when (outcome) {
             is CreateOutcome.Created ->
-                owner.take(OwnedBatch(record, outcome.record, route, parts.clock.monotonicMillis(), emptyList()))
+                owner.take(OwnedBatch(record, outcome.record, route, parts.work.clock.monotonicMillis(), emptyList()))
             // An earlier creation by this process may have taken effect unnoticed.
             is CreateOutcome.Existed -> if (outcome.record.ownership.owner == self.id) onUnsettled(record.id)
             is CreateOutcome.Unknown -> onUnsettled(record.id)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -1,21 +1,15 @@
 package bergamotwall.gateway.forwarding
 
 import bergamotwall.gateway.http.AnswerPart
-import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetExchange
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
-import bergamotwall.gateway.targets.TargetLoads
-import bergamotwall.gateway.targets.TargetProtocol
-import bergamotwall.runtime.Clock
+import bergamotwall.gateway.targets.TargetParts
 import java.io.ByteArrayOutputStream
 
 /** Sends a request to one target and receives its answer. */
 internal class AttemptRunner(
-    private val client: TargetClient,
-    private val protocol: TargetProtocol,
-    private val loads: TargetLoads,
-    private val clock: Clock,
+    private val parts: TargetParts,
     private val limits: ForwardLimits,
 ) {
     /** One attempt of [request] at [target]; cancelling it makes the target drop the request. */
@@ -25,26 +19,21 @@
         deadlineAtMillis: Long,
         stream: Boolean,
     ): AttemptOutcome {
-        val load = loads.of(target.id)
-        val sentAtMillis = clock.monotonicMillis()
+        val load = parts.loads.of(target.id)
+        val sentAtMillis = parts.clock.monotonicMillis()
         load.sent(sentAtMillis)
         val leftMillis = (deadlineAtMillis - sentAtMillis).coerceAtLeast(1)
         val call =
             TargetCall(request.id.value, request.method, request.path, request.headers, request.body, leftMillis)
-        val exchange = client.send(target.address, protocol.request(call, target))
+        val exchange = parts.client.send(target.address, parts.protocol.request(call, target))
         var streaming = false
         try {
             val outcome = receive(exchange, target, stream)
             when (outcome) {
-                is AttemptOutcome.Whole -> load.succeeded(clock.monotonicMillis() - sentAtMillis)
+                is AttemptOutcome.Whole -> load.succeeded(parts.clock.monotonicMillis() - sentAtMillis)
                 is AttemptOutcome.Started -> streaming = true
-                is AttemptOutcome.NotRun ->
-                    if (outcome.full) {
-                        load.refused(clock.monotonicMillis())
-                    } else {
-                        load.failed(clock.monotonicMillis())
-                    }
-                is AttemptOutcome.Broken -> load.failed(clock.monotonicMillis())
+                is AttemptOutcome.NotRun -> load.notRun(parts.clock.monotonicMillis(), outcome.full)
+                is AttemptOutcome.Broken -> load.failed(parts.clock.monotonicMillis())
             }
             return outcome
         } finally {
@@ -70,9 +59,9 @@
         stream: Boolean,
         head: AnswerPart.Head,
     ): AttemptOutcome {
-        val facts = protocol.read(head)
-        facts.load?.let { loads.of(target.id).reported(it, clock.monotonicMillis()) }
-        if (facts.genuine && !facts.notRun) loads.of(target.id).answering()
+        val facts = parts.protocol.read(head)
+        facts.load?.let { parts.loads.of(target.id).reported(it, parts.clock.monotonicMillis()) }
+        if (facts.genuine && !facts.notRun) parts.loads.of(target.id).answering()
         return when {
             facts.notRun -> AttemptOutcome.NotRun("status ${head.status}", facts.full)
             !facts.genuine -> AttemptOutcome.Broken("unsigned status ${head.status}")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -1,20 +1,13 @@
 package bergamotwall.gateway.forwarding
 
 import bergamotwall.decisions.chooseTarget
-import bergamotwall.gateway.GatewayBoard
-import bergamotwall.gateway.GatewayMetrics
-import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.targets.Target
-import bergamotwall.gateway.targets.TargetLoads
-import bergamotwall.gateway.targets.TargetProtocol
-import bergamotwall.model.DataCentre
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.model.ServiceName
 import bergamotwall.model.TargetId
-import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Decision
-import bergamotwall.runtime.Journal
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelChildren
@@ -23,20 +16,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlin.random.Random
-
-/** What forwarding needs. */
-public data class ForwardParts(
-    public val board: GatewayBoard,
-    public val client: TargetClient,
-    public val protocol: TargetProtocol,
-    public val loads: TargetLoads,
-    public val clock: Clock,
-    public val random: Random,
-    public val journal: Journal,
-    public val dataCentre: DataCentre,
-    public val metrics: GatewayMetrics,
-)
 
 /**
  * Forwards callers' requests to targets.
@@ -45,8 +24,8 @@
  * it; no more targets are tried than the route allows; the caller has its final answer by its deadline and the route's
  * time-out.
  */
-public class Forwarder(private val parts: ForwardParts, private val limits: ForwardLimits) {
-    private val runner = AttemptRunner(parts.client, parts.protocol, parts.loads, parts.clock, limits)
+public class Forwarder(private val parts: TargetParts, private val limits: ForwardLimits) {
+    private val runner = AttemptRunner(parts, limits)
 
     /** Serves [request] on [route]. Cancelling it makes the targets drop the request. */
     public suspend fun forward(
@@ -194,11 +173,8 @@
         service: ServiceName,
         tried: Set<TargetId>,
     ): Target? {
-        val nowMillis = parts.clock.monotonicMillis()
         val usable = parts.board.targets.read().usable(service)
-        val candidates =
-            usable.map { parts.loads.of(it.id).candidate(it, it.dataCentre == parts.dataCentre, nowMillis) }
-        val chosen = chooseTarget(candidates, tried, parts.random)
+        val chosen = chooseTarget(parts.candidates(usable), tried, parts.random)
         return usable.firstOrNull { it.id == chosen?.id }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/StoreConversions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/StoreConversions.kt
@@ -32,13 +32,7 @@
 
 internal fun messageOf(transaction: Transaction): StoreCommit =
     StoreCommit(
-        conditions =
-        transaction.conditions.map {
-            when (it) {
-                is Condition.Absent -> StoreCondition(it.key, 0)
-                is Condition.Unchanged -> StoreCondition(it.key, it.modRevision)
-            }
-        },
+        conditions = transaction.conditions.map { StoreCondition(it.key, it.modRevision) },
         puts =
         transaction.writes.filterIsInstance<Write.Put>().map { StoreWrite(it.key, it.value, it.lease?.value ?: 0) },
         deletes = transaction.writes.filterIsInstance<Write.Delete>().map { it.key },
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -56,6 +56,12 @@
         closeUntil(nowMillis + PROBE_MILLIS)
     }
 
+    /** Records at [nowMillis] that the target did not run a request, because it is [full] or because it failed. */
+    public fun notRun(
+        nowMillis: Long,
+        full: Boolean,
+    ): Unit = if (full) refused(nowMillis) else failed(nowMillis)
+
     /**
      * Records a failure at [nowMillis]: the target gets no new work for a time that doubles with each one in a row.
      * Requests that fail while it is closed were sent before, and tell nothing new.
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetParts.kt
@@ -0,0 +1,29 @@
+package bergamotwall.gateway.targets
+
+import bergamotwall.decisions.CandidateTarget
+import bergamotwall.gateway.GatewayBoard
+import bergamotwall.gateway.GatewayMetrics
+import bergamotwall.gateway.http.TargetClient
+import bergamotwall.model.DataCentre
+import bergamotwall.runtime.Clock
+import bergamotwall.runtime.Journal
+import kotlin.random.Random
+
+/** What all work at targets needs; [dataCentre] is that of this process. */
+public data class TargetParts(
+    public val board: GatewayBoard,
+    public val client: TargetClient,
+    public val protocol: TargetProtocol,
+    public val loads: TargetLoads,
+    public val clock: Clock,
+    public val random: Random,
+    public val journal: Journal,
+    public val dataCentre: DataCentre,
+    public val metrics: GatewayMetrics,
+) {
+    /** [targets] as placement sees them now. */
+    internal fun candidates(targets: Collection<Target>): List<CandidateTarget> {
+        val nowMillis = clock.monotonicMillis()
+        return targets.map { loads.of(it.id).candidate(it, it.dataCentre == dataCentre, nowMillis) }
+    }
+}
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/AcceptanceTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/AcceptanceTest.kt
@@ -53,7 +53,7 @@
         val batches = fixture.batches(this)
         fixture.know(batches, elected)
         answerOf(home)?.let { answer -> fixture.peers.connect(elected.peerAddress) { _, _ -> answer } }
-        if (home == "silent") fixture.silent += elected.peerAddress
+        if (home == "silent") fixture.peers.silence(elected.peerAddress)
         fixture.writesFail = !up
         val outcome = batches.submit(fixture.record, fixture.route)
         expectThat(outcome::class.simpleName).isEqualTo(expected)
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -23,6 +23,7 @@
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
 import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.targets.TargetParts
 import bergamotwall.gateway.targets.TargetProtocol
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
@@ -32,11 +33,8 @@
 import bergamotwall.model.ItemId
 import bergamotwall.model.ItemSpec
 import bergamotwall.model.NodeId
-import bergamotwall.model.PeerMessage
 import bergamotwall.model.ServiceName
 import bergamotwall.model.WeightVersion
-import bergamotwall.peers.PeerClient
-import bergamotwall.peers.PeerError
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Journal
 import bergamotwall.standins.fakes.MemoryKeyValueStore
@@ -111,22 +109,6 @@
     /** Other processes. */
     val peers = MemoryPeers()
 
-    /** Addresses of other processes that take a message and never answer. */
-    val silent = HashSet<String>()
-
-    private val network =
-        object : PeerClient by peers {
-            override suspend fun ask(
-                address: String,
-                message: PeerMessage,
-                timeoutMillis: Long,
-                trace: String?,
-            ): Result<PeerMessage, PeerError> {
-                if (address !in silent) return peers.ask(address, message, timeoutMillis, trace)
-                delay(timeoutMillis)
-                return Err(PeerError.NoAnswer("silent"))
-            }
-        }
     private val group = NioEventLoopGroup(1)
     private val client = TargetClient(group, NioSocketChannel::class.java)
 
@@ -165,16 +147,20 @@
         val parts =
             BatchParts(
                 self = { self },
-                board = board,
                 store = store,
-                peers = network,
-                client = client,
-                protocol = NoTargets,
-                loads = TargetLoads(),
-                clock = clock,
-                random = Random(1),
-                journal = journal,
-                metrics = GatewayMetrics(),
+                peers = peers,
+                work =
+                TargetParts(
+                    board = board,
+                    client = client,
+                    protocol = NoTargets,
+                    loads = TargetLoads(),
+                    clock = clock,
+                    random = Random(1),
+                    journal = journal,
+                    dataCentre = self.dataCentre,
+                    metrics = GatewayMetrics(),
+                ),
             )
         return Batches(parts, BatchSettings(), scope.backgroundScope, dispatcher)
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
@@ -14,9 +14,6 @@
 import bergamotwall.model.DataCentre
 import bergamotwall.model.Done
 import bergamotwall.model.NodeId
-import bergamotwall.model.PeerMessage
-import bergamotwall.peers.PeerClient
-import bergamotwall.peers.PeerError
 import bergamotwall.standins.fakes.CallFault
 import bergamotwall.standins.fakes.ManualClock
 import bergamotwall.standins.fakes.MemoryKeyValueStore
@@ -28,7 +25,6 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeoutOrNull
@@ -119,22 +115,9 @@
     @Test
     fun `a watch waits for one silent relay only`() =
         runTest {
-            val ids = (1..4).map { NodeId("cut$it") }
-            val cut = ids.associateWith { GatewayMember(it, 1, DataCentre("x"), "cut:1") }
-            val silence =
-                object : PeerClient by peers {
-                    override suspend fun ask(
-                        address: String,
-                        message: PeerMessage,
-                        timeoutMillis: Long,
-                        trace: String?,
-                    ): Result<PeerMessage, PeerError> {
-                        delay(timeoutMillis)
-                        return Err(PeerError.NoAnswer(address))
-                    }
-                }
+            val cut = silent(4)
             val failing = ChangeFeed { _, _, _ -> Err(KeyValueError.Unavailable("down", mayHaveApplied = false)) }
-            val path = RelayPath(NodeId("self"), { MemberList(cut) }, silence, clock, Random(1))
+            val path = RelayPath(NodeId("self"), { MemberList(cut) }, peers, clock, Random(1))
             expectThat(RelayedStore(own, failing, path).changes("p", 7, 2_500).isErr).isTrue()
             expectThat(testScheduler.currentTime).isLessThanOrEqualTo(3_500)
         }
@@ -154,22 +137,8 @@
     @Test
     fun `calls find a process that reaches the service among many that are cut off`() =
         runTest {
-            val cut = (1..8).map { GatewayMember(NodeId("cut$it"), 1, DataCentre("x"), "cut$it:1") }
-            val silence =
-                object : PeerClient by peers {
-                    override suspend fun ask(
-                        address: String,
-                        message: PeerMessage,
-                        timeoutMillis: Long,
-                        trace: String?,
-                    ): Result<PeerMessage, PeerError> {
-                        if (!address.startsWith("cut")) return peers.ask(address, message, timeoutMillis, trace)
-                        delay(timeoutMillis)
-                        return Err(PeerError.NoAnswer(address))
-                    }
-                }
-            val all = MemberList(members + cut.associateBy { it.id })
-            val cutOff = RelayedStore(own, feed, RelayPath(NodeId("self"), { all }, silence, clock, Random(5)))
+            val all = MemberList(members + silent(8))
+            val cutOff = RelayedStore(own, feed, RelayPath(NodeId("self"), { all }, peers, clock, Random(5)))
             own.down = true
             val lease = others.grantLease(2).get()!!
             var renewed = 0
@@ -181,6 +150,13 @@
             expectThat(renewed).isGreaterThan(8)
         }
 
+    /** Processes that are registered and never answer. */
+    private fun silent(count: Int): Map<NodeId, GatewayMember> =
+        (1..count).map { "cut$it" }.associate { name ->
+            peers.silence("$name:1")
+            NodeId(name) to GatewayMember(NodeId(name), 1, DataCentre("x"), "$name:1")
+        }
+
     private fun put(
         key: String,
         value: String,
--- a/model/src/main/kotlin/bergamotwall/model/Settings.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Settings.kt
@@ -48,17 +48,10 @@
     check(settings.probePeriodMillis >= MIN_PERIOD_MILLIS, "probePeriodMillis", "is below 50", "use 50 or more")
     check(settings.addressTtlMillis >= 0, "addressTtlMillis", "is negative", "use 0 or more")
     check(settings.leaseTtlSeconds >= MIN_LEASE_SECONDS, "leaseTtlSeconds", "is below 2", "use 2 or more")
-    check(settings.logLevel in LEVELS, "logLevel", "is unknown", "use one of $LEVELS")
+    check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
     check(settings.maxBodyBytes > 0, "maxBodyBytes", "is not positive", "use 1 or more")
     return found
 }
 
 private const val MIN_PERIOD_MILLIS = 50L
 private const val MIN_LEASE_SECONDS = 2L
-private const val MAX_PORT = 65_535
-private val LEVELS = listOf("trace", "debug", "info", "warn", "error")
-
-private fun isAddress(address: String): Boolean {
-    val port = address.substringAfterLast(':', "").toIntOrNull() ?: return false
-    return address.substringBeforeLast(':').isNotBlank() && port in 1..MAX_PORT
-}
--- /dev/null
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/MetricsPage.kt
@@ -0,0 +1,32 @@
+package bergamotwall.runtime
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Metrics of one process, whose names begin with [prefix]. */
+public class MetricsPage(public val prefix: String) {
+    /** Where further kinds of metrics are registered. */
+    public val registry: PrometheusRegistry = PrometheusRegistry()
+
+    /** Registers a counter. */
+    public fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Counter =
+        Counter
+            .builder()
+            .name(prefix + name)
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
+
+    /** All metrics in the Prometheus text format. */
+    public fun expose(): String {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter(false).write(out, registry.scrape())
+        return out.toString(Charsets.UTF_8)
+    }
+}
--- a/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryPeers.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryPeers.kt
@@ -7,12 +7,14 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
 
 /** Peers in memory: messages go straight to the handler at an address, unless the test cut it off. */
 public class MemoryPeers : PeerClient {
     private val handlers = ConcurrentHashMap<String, PeerHandler>()
     private val cut = ConcurrentHashMap.newKeySet<String>()
+    private val silent = ConcurrentHashMap.newKeySet<String>()
 
     override val bytesSent: Long = 0
 
@@ -32,6 +34,11 @@
         if (off) cut += address else cut -= address
     }
 
+    /** The process at [address] takes messages and never answers. */
+    public fun silence(address: String) {
+        silent += address
+    }
+
     override suspend fun ask(
         address: String,
         message: PeerMessage,
@@ -39,7 +46,14 @@
         trace: String?,
     ): Result<PeerMessage, PeerError> {
         val handler = handlers[address]?.takeIf { address !in cut }
-        return if (handler == null) Err(PeerError.Unreachable(address)) else Ok(handler.answer(message, trace))
+        return when {
+            address in silent -> {
+                delay(timeoutMillis)
+                Err(PeerError.NoAnswer(address))
+            }
+            handler == null -> Err(PeerError.Unreachable(address))
+            else -> Ok(handler.answer(message, trace))
+        }
     }
 
     override fun close() {
