--- a/drivers/src/main/kotlin/bergamotwall/drivers/KeyValueListing.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/KeyValueListing.kt
@@ -1,4 +1,9 @@
 package bergamotwall.drivers
 
-/** Entries read at [revision] or later; the changes after [revision] bring them up to date. */
-public data class KeyValueListing(val entries: List<KeyValueEntry>, val revision: Long)
+import bergamotwall.model.NodeId
+
+/**
+ * Entries read at [revision] or later; the changes after [revision] bring them up to date. [relay] is the process that
+ * relayed the response, null if the service sent it to this process.
+ */
+public data class KeyValueListing(val entries: List<KeyValueEntry>, val revision: Long, val relay: NodeId? = null)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import bergamotwall.gateway.store.RelayFailover
 import bergamotwall.gateway.store.RelayedStore
 import bergamotwall.gateway.store.StoreRelay
+import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.weights.WeightRollout
@@ -22,6 +23,7 @@
 import bergamotwall.model.PeerRefusal
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
+import bergamotwall.model.RequestId
 import bergamotwall.peers.PeerHandler
 import bergamotwall.peers.PeerServer
 import bergamotwall.runtime.Decision
@@ -48,6 +50,7 @@
     group: EventLoopGroup,
 ) {
     private val incarnation = drivers.clock.wallMillis()
+    private val startedAtMillis = drivers.clock.monotonicMillis()
     private val eventLoop = group.next().asCoroutineDispatcher()
 
     /** Scope of all coroutines of the process. */
@@ -82,6 +85,9 @@
         get() = !shuttingDown && settings.id !in gatewayState.evacuations.read() && gatewayState.routes.read().known &&
             watches.targetsLoaded
 
+    /** The latest proof that the configuration in force is the newest; null before the first one. */
+    public val configurationConfirmation: WatchConfirmation? get() = watches.configurationConfirmation
+
     private val targetDependencies =
         TargetDependencies(
             gatewayState = gatewayState,
@@ -136,6 +142,10 @@
         metrics.gauge("targets", "Registered targets.") { gatewayState.targets.read().targets.size }
         metrics.gauge("members", "Registered processes.") { gatewayState.members.read().members.size }
         metrics.gauge("configuration_revision", "Configuration in force.") { gatewayState.routes.read().revision.value }
+        metrics.gauge("configuration_age_seconds", "Time since the configuration was last known to be the newest.") {
+            val nowMillis = drivers.clock.monotonicMillis()
+            (nowMillis - (configurationConfirmation?.atMillis ?: startedAtMillis)) / MILLIS_PER_SECOND
+        }
         metrics.gauge("ready", "1 if the process takes work.") { if (ready) 1 else 0 }
         metrics.gauge("connections_opened", "Connections to targets opened since the start.") {
             drivers.client.connectionsOpened
@@ -163,6 +173,19 @@
         registration.end()
     }
 
+    /** Records in the journal that no route matches request [id] of [path] on [host]. */
+    public fun unrouted(
+        id: RequestId,
+        host: String,
+        path: String,
+    ) {
+        val confirmation = configurationConfirmation
+        val ageMillis = confirmation?.let { drivers.clock.monotonicMillis() - it.atMillis }
+        val revision = gatewayState.routes.read().revision.value
+        val inputs = "configuration $revision, confirmed $ageMillis ms ago, ${confirmation?.path}"
+        journal.record(Decision("request/${id.value}", "no route", "the longest prefix", "$host$path", inputs))
+    }
+
     /** Records in the journal that a request concerning [batch] was refused as malformed. */
     public fun refused(
         batch: BatchId?,
@@ -211,4 +234,8 @@
                     ?: batches.handle(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
+
+    private companion object {
+        private const val MILLIS_PER_SECOND = 1_000.0
+    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
@@ -12,15 +12,10 @@
     private val submissions = metrics.counter("submissions", "Submissions of batches.", "route", "outcome")
     private val attempts = metrics.counter("item_attempts", "Attempts to run an item of a batch.", "outcome")
     private val orders = metrics.counter("weight_orders", "Orders to load weights.", "outcome")
-    private val requestSeconds =
-        Histogram
-            .builder()
-            .name("${metrics.prefix}request_seconds")
-            .help("Time from a request to its answer.")
-            .labelNames("route")
-            .classicOnly()
-            .classicExponentialUpperBounds(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS)
-            .register(metrics.registry)
+    private val requestSeconds = histogram("request_seconds", "Time from a request to its answer.", "route")
+    private val loadSeconds = histogram("weight_load_seconds", "Time from an accepted order to its version.")
+    private val itemWaitSeconds =
+        histogram("item_wait_seconds", "Time from when an item could be sent until it was sent.", "route")
 
     /** Counts the outcome of a request on [route], [millis] after its arrival. */
     public fun requestEnded(
@@ -41,6 +36,15 @@
     /** Counts an attempt to run an item of a batch. */
     public fun attempted(outcome: String): Unit = attempts.labelValues(outcome).inc()
 
+    /** Records that an item of a batch on [route] was sent [millis] after it could have been sent. */
+    public fun itemWaited(
+        route: String,
+        millis: Long,
+    ): Unit = itemWaitSeconds.labelValues(route).observe(millis / MILLIS_PER_SECOND)
+
+    /** Records that an engine loaded weights in [millis]. */
+    public fun loaded(millis: Long): Unit = loadSeconds.observe(millis / MILLIS_PER_SECOND)
+
     /** Counts a weight order sent to an engine. */
     public fun ordered(outcome: String): Unit = orders.labelValues(outcome).inc()
 
@@ -58,6 +62,20 @@
             .register(metrics.registry)
     }
 
+    private fun histogram(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Histogram =
+        Histogram
+            .builder()
+            .name(metrics.prefix + name)
+            .help(help)
+            .labelNames(*labels)
+            .classicOnly()
+            .classicExponentialUpperBounds(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKETS)
+            .register(metrics.registry)
+
     /** All metrics in the Prometheus text format. */
     public fun expose(): String = metrics.expose()
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.PrefixWatcher
+import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.store.WatchTiming
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.gateway.targets.TargetLoads
@@ -47,6 +48,9 @@
     var targetsLoaded = false
         private set
 
+    /** The latest proof that the configuration in force is the newest; null before the first listing. */
+    val configurationConfirmation: WatchConfirmation? get() = operatorWatcher.confirmation
+
     private val leadershipFreeSinceMillis = AtomicLong(Long.MAX_VALUE)
 
     @Volatile
@@ -84,7 +88,13 @@
         val table = drivers.documents.routes(entries)
         if (table != null && table.revision > gatewayState.routes.read().revision) {
             gatewayState.routes.update { table }
-            Logger.info("event=configuration_adopted revision={} routes={}", table.revision.value, table.routes.size)
+            Logger.info(
+                "event=configuration_adopted revision={} routes={} path=\"{}\" gapMillis={}",
+                table.revision.value,
+                table.routes.size,
+                configurationConfirmation?.path,
+                configurationConfirmation?.gapMillis,
+            )
             onChange(WatchedSection.ROUTES)
         }
         val evacuations = drivers.documents.evacuations(entries)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -59,6 +59,8 @@
         val services = items.flatMap { it.batch.route.shares }.map { it.service }.distinct()
         val usable = services.flatMap { targets.usable(it) }.associateBy { it.id }
         val waiting = items.mapIndexed { ticket, item -> item.waitingItem(ticket, usable.values) }
+        waiting.forEach { items[it.ticket].batch.placement.eligibleTargets = it.eligible.size }
+        items.forEach { it.batch.placement.usableTargets = usable.size }
         assignItems(
             waiting,
             dependencies.candidates(usable.values)
@@ -71,6 +73,11 @@
         usable: Map<TargetId, Target>,
     ) {
         val target = usable.getValue(assignment.target)
+        val nowMillis = dependencies.clock.monotonicMillis()
+        val waitedMillis = nowMillis - maxOf(dispatched.batch.acceptedAtMillis, dispatched.item.notBeforeMillis)
+        dispatched.batch.placement.sentAfter(waitedMillis)
+        dependencies.metrics.itemWaited(dispatched.batch.route.name, waitedMillis)
+        dispatched.item.sentAtMillis = nowMillis
         dispatched.item.running = true
         dispatched.item.attempts++
         dispatched.batch.groupTargets[dispatched.item.spec.group] = target.id
@@ -146,7 +153,9 @@
                 decision = "attempt ${item.attempts} ended: $outcome",
                 rule = "one attempt at one target",
                 cause = "batch ${dispatched.batch.record.id.value}",
-                inputs = "target ${target.id.value}, events received ${item.eventCount}, versions ${item.versions()}",
+                inputs =
+                "target ${target.id.value}, events received ${item.eventCount}, versions ${item.versions()}, " +
+                    "took ${dependencies.clock.monotonicMillis() - item.sentAtMillis} ms",
             ),
         )
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -23,6 +23,9 @@
     var running = false
     var done = false
     var notBeforeMillis = 0L
+
+    /** When the item was sent last, on the monotonic clock. */
+    var sentAtMillis = 0L
     var lastFailedTarget: TargetId? = null
     var exchange: TargetExchange? = null
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -43,6 +43,9 @@
     /** Target to which an item of each group was sent last. */
     val groupTargets: MutableMap<String, TargetId> = HashMap()
 
+    /** How the placement of the batch went, for its log lines. */
+    val placement = PlacementSummary()
+
     /** Whether the trainer has ended the batch. */
     var ended = ownershipRecord.ownership.ended
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -117,7 +117,13 @@
     ) {
         dispatcher.remove(batch)
         dependencies.journal.record(
-            Decision("batch/${batch.record.id.value}", "stopped", "no more of its items are sent", cause),
+            Decision(
+                subject = "batch/${batch.record.id.value}",
+                decision = "stopped",
+                rule = "no more of its items are sent",
+                cause = cause,
+                inputs = "${batch.unfinished} of ${batch.items.size} items unfinished, ${batch.placement}",
+            ),
         )
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -6,6 +6,7 @@
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueStore
+import bergamotwall.model.NodeId
 import bergamotwall.runtime.Clock
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
@@ -31,6 +32,11 @@
     private var revision: Long? = null
     private var failing = false
 
+    /** The latest proof that the entries are current; null before the first listing. */
+    @Volatile
+    public var confirmation: WatchConfirmation? = null
+        private set
+
     /** Starts to watch in [scope]. */
     public fun start(scope: CoroutineScope): Job =
         scope.launch {
@@ -42,9 +48,11 @@
         }
 
     private suspend fun list() {
+        val sentAtMillis = clock.monotonicMillis()
         store.list(prefix).fold(
             success = { listing ->
                 onSuccess()
+                confirm(sentAtMillis, listing.relay)
                 keys.listed(listing.entries.associateBy { it.key }, clock.monotonicMillis())
                 revision = listing.revision
                 onChange(keys.current())
@@ -56,9 +64,13 @@
     private suspend fun poll(fromRevision: Long) {
         val dueMillis = keys.expiryAtMillis()?.let { it - clock.monotonicMillis() } ?: timing.waitMillis
         val waitMillis = dueMillis.coerceIn(1, timing.waitMillis)
+        val sentAtMillis = clock.monotonicMillis()
         feed.changes(prefix, fromRevision, waitMillis).fold(
             success = { response ->
                 onSuccess()
+                // The service answers a poll without changes no sooner than after the wait.
+                val emptyAtMillis = if (response.changes.isEmpty()) sentAtMillis + waitMillis else Long.MAX_VALUE
+                confirm(minOf(emptyAtMillis, clock.monotonicMillis()), response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
                 if (response.changes.isNotEmpty()) {
@@ -72,6 +84,13 @@
         )
     }
 
+    private fun confirm(
+        atMillis: Long,
+        relay: NodeId?,
+    ) {
+        confirmation = WatchConfirmation(atMillis, atMillis - (confirmation?.atMillis ?: atMillis), relay)
+    }
+
     private fun apply(change: KeyValueChange) {
         when (change) {
             is KeyValueChange.Put -> keys.put(change.key, change.entry)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
@@ -76,7 +76,7 @@
         message: PeerMessage,
         waitMillis: Long,
         retryable: Boolean,
-    ): Result<PeerMessage, RelayFailure> {
+    ): Result<RelayedResponse, RelayFailure> {
         val timeoutMillis = waitMillis + TIMEOUT_MILLIS
         // A long poll is slow by design: slowness is no reason to hedge, nor may it wait for one relay after another.
         val response =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
@@ -41,19 +41,19 @@
 ) : KeyValueStore,
     ChangeFeed {
     override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
-        call({ store.get(key) }, StoreGet(key), 0) { response ->
+        call({ store.get(key) }, StoreGet(key), 0) { (response, _) ->
             (response as? StoreEntries)?.let { listing -> Decoded(listing.entries.firstOrNull()?.let { entryOf(it) }) }
         }
 
     override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> =
-        call({ store.list(prefix) }, StoreList(prefix), 0) { response ->
+        call({ store.list(prefix) }, StoreList(prefix), 0) { (response, relay) ->
             (response as? StoreEntries)?.let { listing ->
-                Decoded(KeyValueListing(listing.entries.map { entryOf(it) }, listing.revision))
+                Decoded(KeyValueListing(listing.entries.map { entryOf(it) }, listing.revision, relay))
             }
         }
 
     override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
-        call({ store.commit(transaction) }, messageOf(transaction), 0) { response ->
+        call({ store.commit(transaction) }, messageOf(transaction), 0) { (response, _) ->
             when (response) {
                 is StoreCommitted -> Decoded(TransactionOutcome.Committed(response.value))
                 is StoreEntries -> Decoded(TransactionOutcome.Declined(response.entries.map { entryOf(it) }))
@@ -62,7 +62,7 @@
         }
 
     override suspend fun grantLease(ttlSeconds: Long): Result<LeaseId, KeyValueError> =
-        call({ store.grantLease(ttlSeconds) }, StoreGrant(ttlSeconds), 0) { response ->
+        call({ store.grantLease(ttlSeconds) }, StoreGrant(ttlSeconds), 0) { (response, _) ->
             (response as? StoreCommitted)?.let { Decoded(LeaseId(it.value)) }
         }
 
@@ -86,9 +86,9 @@
             { failover.cancelOnDirectFailure { feed.changes(prefix, afterRevision, waitMillis) } ?: Err(abandoned) },
             StoreWatch(prefix, afterRevision, waitMillis),
             waitMillis,
-        ) { response ->
+        ) { (response, relay) ->
             (response as? StoreChanges)?.let { changes ->
-                Decoded(KeyValueChanges(changes.changes.map { changeOf(it) }, changes.revision))
+                Decoded(KeyValueChanges(changes.changes.map { changeOf(it) }, changes.revision, relay))
             }
         }
 
@@ -98,7 +98,7 @@
         direct: suspend () -> Result<T, KeyValueError>,
         message: PeerMessage,
         waitMillis: Long,
-        decode: (PeerMessage) -> Decoded<T>?,
+        decode: (RelayedResponse) -> Decoded<T>?,
     ): Result<T, KeyValueError> {
         val retryable = message !is StoreCommit
         if (failover.directFirst()) {
@@ -116,14 +116,15 @@
         message: PeerMessage,
         waitMillis: Long,
         retryable: Boolean,
-        decode: (PeerMessage) -> Decoded<T>?,
+        decode: (RelayedResponse) -> Decoded<T>?,
     ): Result<T, KeyValueError> =
         failover.request(message, waitMillis, retryable).fold(
             success = { response ->
-                if (response is StoreFailure) {
-                    Err(errorOf(response))
+                val message = response.message
+                if (message is StoreFailure) {
+                    Err(errorOf(message))
                 } else {
-                    decode(response)?.let { Ok(it.value) } ?: unexpectedResponse(response)
+                    decode(response)?.let { Ok(it.value) } ?: unexpectedResponse(message)
                 }
             },
             failure = { Err(KeyValueError.Unavailable("relays failed: ${it.detail}", it.mayHaveArrived)) },
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/Relays.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/Relays.kt
@@ -25,6 +25,9 @@
 /** Why no relay returned a result. [mayHaveArrived]: a relay may have sent the call to the service. */
 internal data class RelayFailure(val detail: String, val mayHaveArrived: Boolean)
 
+/** The response [message] of the service, relayed by [relay]. */
+internal data class RelayedResponse(val message: PeerMessage, val relay: NodeId)
+
 /**
  * Relays calls to the key-value service through other processes. The relay that last succeeded is tried first, those
  * that failed recently are tried last. Thread-safe.
@@ -51,7 +54,7 @@
         timeoutMillis: Long,
         retryable: Boolean,
         hedgeMillis: Long = HEDGE_MILLIS,
-    ): Result<PeerMessage, RelayFailure> =
+    ): Result<RelayedResponse, RelayFailure> =
         coroutineScope {
             val hedged = HedgedRequest(this, message, timeoutMillis, ArrayDeque(chooseRelays()))
             hedged.awaitResponse(retryable, hedgeMillis).also { coroutineContext.cancelChildren() }
@@ -75,7 +78,7 @@
         relay: GatewayMember,
         message: PeerMessage,
         timeoutMillis: Long,
-    ): Result<PeerMessage, RelayFailure> =
+    ): Result<RelayedResponse, RelayFailure> =
         peers.sendRequest(relay.peerAddress, message, timeoutMillis).fold(
             success = { response ->
                 if (response is StoreFailure && response.kind == StoreFailureKind.UNAVAILABLE) {
@@ -83,7 +86,7 @@
                 } else {
                     lastSuccessful = relay.id
                     failedAtMillis.remove(relay.id)
-                    Ok(response)
+                    Ok(RelayedResponse(response, relay.id))
                 }
             },
             failure = { recordFailure(relay, RelayFailure(it.detail, it !is PeerError.Unreachable)) },
@@ -92,7 +95,7 @@
     private fun recordFailure(
         relay: GatewayMember,
         failure: RelayFailure,
-    ): Result<PeerMessage, RelayFailure> {
+    ): Result<RelayedResponse, RelayFailure> {
         failedAtMillis[relay.id] = clock.monotonicMillis()
         return Err(failure)
     }
@@ -104,14 +107,14 @@
         private val timeoutMillis: Long,
         private val relays: ArrayDeque<GatewayMember>,
     ) {
-        private val responses = Channel<Result<PeerMessage, RelayFailure>>(Channel.UNLIMITED)
+        private val responses = Channel<Result<RelayedResponse, RelayFailure>>(Channel.UNLIMITED)
         private var inFlight = 0
 
         suspend fun awaitResponse(
             retryable: Boolean,
             hedgeMillis: Long,
-        ): Result<PeerMessage, RelayFailure> {
-            var last: Result<PeerMessage, RelayFailure> = Err(RelayFailure("no other process is registered", false))
+        ): Result<RelayedResponse, RelayFailure> {
+            var last: Result<RelayedResponse, RelayFailure> = Err(RelayFailure("no other process is registered", false))
             var mayHaveArrived = false
             while (last.isErr && (inFlight > 0 || relays.isNotEmpty())) {
                 if (inFlight == 0) requestNext()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -9,7 +9,6 @@
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.model.ModelName
 import bergamotwall.model.NodeId
-import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Decision
@@ -42,9 +41,7 @@
     private val leadership: Leadership,
     private val settings: WeightSettings,
 ) {
-    private class PendingLoad(val model: ModelName, val version: WeightVersion)
-
-    private val loading = HashMap<TargetId, PendingLoad>()
+    private val loads = WeightLoads(dependencies)
     private val engines = EngineStateCache(dependencies.orders)
     private var mayActFromMillis: Long? = null
 
@@ -92,7 +89,7 @@
 
     private fun reset() {
         mayActFromMillis = null
-        loading.clear()
+        loads.clear()
         engines.clear()
     }
 
@@ -105,14 +102,14 @@
                 targets
             )
         }
-        planLoads(states, loading.keys, settings.maxLoads - loading.size).forEach { (model, id) ->
+        planLoads(states, loads.targets, settings.maxLoads - loads.targets.size).forEach { (model, id) ->
             val namedVersion = states.first { it.model == model }.namedVersion
-            loading[id] = PendingLoad(model, namedVersion)
+            loads.started(id, model, namedVersion)
             scope.launch {
                 try {
                     load(targets.targets.getValue(id), model, namedVersion)
                 } finally {
-                    loading.remove(id)
+                    loads.ended(id)
                 }
             }
         }
@@ -130,7 +127,7 @@
                 model = model,
                 namedVersion = namedVersion,
                 engines = engineVersions,
-                loading = loading.filterValues { it.model == model && it.version >= namedVersion }.keys,
+                loading = loads.targetsOf(model, namedVersion),
                 share = maxOf(1, engineVersions.size / modelCount),
                 usable = minOf(engineVersions.size, maxOf(1, 2 * engineVersions.size / modelCount)),
             )
@@ -170,7 +167,9 @@
         when (outcome) {
             OrderOutcome.ACCEPTED -> {
                 engines.accepted(target, order)
-                awaitVersion(target, order.model, order.version)
+                val orderedAtMillis = dependencies.clock.monotonicMillis()
+                val loaded = awaitVersion(target, order.model, order.version)
+                loads.record(target, order, loaded, dependencies.clock.monotonicMillis() - orderedAtMillis)
             }
             OrderOutcome.HOLDS_ALREADY -> engines.loaded(target, order)
             OrderOutcome.CONFLICT, OrderOutcome.REFUSED, OrderOutcome.UNKNOWN -> {
@@ -180,18 +179,20 @@
         }
     }
 
+    /** Waits until [target] has registered [version]; returns false if it does not in time. */
     private suspend fun awaitVersion(
         target: Target,
         model: ModelName,
         version: WeightVersion,
-    ) {
+    ): Boolean {
         val untilMillis = dependencies.clock.monotonicMillis() + settings.loadMillis
         while (dependencies.clock.monotonicMillis() < untilMillis) {
             val reportedVersion = dependencies.gatewayState.targets.read().targets[target.id]?.versions?.get(model)
-            if (reportedVersion != null && reportedVersion >= version) return
+            if (reportedVersion != null && reportedVersion >= version) return true
             delay(settings.periodMillis)
         }
         engines.query(target, model)
+        return false
     }
 
     private companion object {
