--- a/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
@@ -27,6 +27,7 @@
 import org.tinylog.Logger
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.TimeSource
 
 /** Peer client over Ktor sockets. */
 public fun PeerClient(): PeerClient = KtorPeerClient()
@@ -45,10 +46,12 @@
         timeoutMillis: Long,
         trace: String?,
     ): Result<PeerMessage, PeerError> {
+        val started = TimeSource.Monotonic.markNow()
         val connection =
             connect(address, timeoutMillis) ?: return Err(PeerError.Unreachable("no connection to $address"))
         val framesBefore = connection.framesRead
-        val response = withTimeoutOrNull(timeoutMillis) { connection.exchange(message, trace) }
+        val remainingMillis = timeoutMillis - started.elapsedNow().inWholeMilliseconds
+        val response = withTimeoutOrNull(remainingMillis) { connection.exchange(message, trace) }
         // A connection can stop delivering without a reset. Closing it makes the next call open a new one.
         if (response == null && connection.framesRead == framesBefore) connection.close()
         return if (response == null) Err(PeerError.NoResponse("no response from $address")) else Ok(response)
