Long-poll only over a path that has just answered

Cause: a watch whose path failed sent its next long poll, 2,500 ms plus 500 or 800, over a path of which it knew nothing, and no other path was tried until that had timed out. A long poll that was sent to a silent relay just before the paths healed ended 3.3 s later, after the VM had counted as connected (3.0 s); a long poll on a silent connection took 3.0 s itself. Class: a long wait on a path that was not known to work.

Evidence: ConfigurationNotInForceInTimeTest runs the watch, the failover and the registration in virtual time over interrupted paths. On the code before, 2 of 6 kinds of interruption fail, the change up to 460 ms late (all paths cut for 900 ms).

Change: after a failure the watch polls without a wait, which is sent like any other read (direct for 150 ms, then hedged over relays), and long-polls again once that is answered; a relayed long poll ends when the direct path works again; the configuration's long poll takes 1,500 ms, so that one on a silent connection ends 2.0 s after it was sent. All 6 kinds pass.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -47,9 +47,10 @@
     /** Maximum duration of one long poll: a dead connection is detected after this time plus [marginMillis]. */
     val waitMillis: Long = 4_000,
     /**
-     * The same for the configuration, which must be applied within two seconds after the key-value service recovers.
+     * The same for the configuration, which must be applied within three seconds after a path to the key-value service
+     * works again.
      */
-    val configurationWaitMillis: Long = 2_500,
+    val configurationWaitMillis: Long = 1_500,
     /** How much longer than its long poll a call may take. */
     val marginMillis: Long = 500,
     /** Pause after a configuration change; a change must be applied within two seconds. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -19,6 +19,9 @@
  * Watches all keys under [prefix] and passes the current entries to [onChange] after each change. Lists the prefix,
  * then long-polls for changes, and lists it again if the service has dropped the history in between. A failed call
  * never removes entries.
+ *
+ * After a failed call the watch polls without a wait until a call succeeds: such a poll fails early where no response
+ * comes, and may be sent over several paths at once.
  */
 public class PrefixWatcher(
     private val prefix: String,
@@ -63,7 +66,7 @@
 
     private suspend fun poll(fromRevision: Long) {
         val dueMillis = keys.expiryAtMillis()?.let { it - clock.monotonicMillis() } ?: timing.waitMillis
-        val waitMillis = dueMillis.coerceIn(1, timing.waitMillis)
+        val waitMillis = if (failing) 0 else dueMillis.coerceIn(1, timing.waitMillis)
         val sentAtMillis = clock.monotonicMillis()
         feed.changes(prefix, fromRevision, waitMillis).fold(
             success = { response ->
@@ -112,8 +115,11 @@
             Logger.info("event=store_history_gone prefix={}", prefix)
             return
         }
-        if (!failing) Logger.warn("event=store_lost prefix={} cause=\"{}\"", prefix, error.detail)
-        failing = true
-        delay(timing.retryMillis)
+        if (failing) {
+            delay(timing.retryMillis)
+        } else {
+            Logger.warn("event=store_lost prefix={} cause=\"{}\"", prefix, error.detail)
+            failing = true
+        }
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
@@ -31,7 +31,7 @@
 ) {
     private val relays = Relays(self, members, peers, clock, random)
     private val relayUntilMillis = AtomicLong(NEVER)
-    private val failures = MutableStateFlow(0)
+    private val directTransitions = MutableStateFlow(0)
     private val noRelayUntilMillis = AtomicLong(NEVER)
 
     /** Whether the next call should be sent directly first. */
@@ -46,47 +46,46 @@
 
     /** Records that the service responded to a direct call. */
     fun directSucceeded() {
-        if (relayUntilMillis.getAndSet(NEVER) != NEVER) Logger.info("event={}", "store_direct")
+        if (relayUntilMillis.getAndSet(NEVER) == NEVER) return
+        Logger.info("event={}", "store_direct")
+        directTransitions.update { it + 1 }
     }
 
     /** Records that a direct call failed; calls are relayed for [FAILOVER_MILLIS] from now on. */
     fun directFailed() {
         val before = relayUntilMillis.getAndSet(clock.monotonicMillis() + FAILOVER_MILLIS)
         if (before == NEVER) Logger.warn("event={}", "store_relayed")
-        failures.update { it + 1 }
+        directTransitions.update { it + 1 }
     }
 
-    /** Runs the long poll [call]. Cancels it and returns null as soon as another direct call fails. */
-    suspend fun <T : Any> cancelOnDirectFailure(call: suspend () -> T): T? =
+    /**
+     * Runs the long poll [call]. Cancels it and returns null as soon as a direct call shows that another path should be
+     * used: it fails, or succeeds after calls were relayed.
+     */
+    suspend fun <T : Any> cancelOnPathChange(call: suspend () -> T): T? =
         coroutineScope {
-            val before = failures.value
+            val before = directTransitions.value
             val response = async { call() }
-            val failed = async { failures.first { it != before } }
+            val changed = async { directTransitions.first { it != before } }
             select<T?> {
                 response.onAwait { it }
-                failed.onAwait { null }
+                changed.onAwait { null }
             }.also { coroutineContext.cancelChildren() }
         }
 
     /**
      * Sends [message] through another process, or through several if it is [retryable]. The relay may take [waitMillis]
-     * longer than for a call that returns immediately.
+     * longer than for a call that returns immediately. A long poll is slow by design, so it must not be [retryable]:
+     * slowness is no reason to send it to another relay.
      */
     suspend fun request(
         message: PeerMessage,
         waitMillis: Long,
         retryable: Boolean,
-    ): Result<RelayedResponse, RelayFailure> {
-        val timeoutMillis = waitMillis + TIMEOUT_MILLIS
-        // A long poll is slow by design: slowness is no reason to hedge, nor may it wait for one relay after another.
-        val response =
-            if (waitMillis > 0) {
-                relays.request(message, timeoutMillis, retryable = false)
-            } else {
-                relays.request(message, timeoutMillis, retryable)
-            }
-        return response.onFailure { noRelayUntilMillis.set(clock.monotonicMillis() + FAILOVER_MILLIS) }
-    }
+    ): Result<RelayedResponse, RelayFailure> =
+        relays.request(message, waitMillis + TIMEOUT_MILLIS, retryable).onFailure {
+            noRelayUntilMillis.set(clock.monotonicMillis() + FAILOVER_MILLIS)
+        }
 
     private companion object {
         private const val NEVER = Long.MIN_VALUE
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
@@ -41,19 +41,19 @@
 ) : KeyValueStore,
     ChangeFeed {
     override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
-        call({ store.get(key) }, StoreGet(key), 0) { (response, _) ->
+        call({ store.get(key) }, StoreGet(key)) { (response, _) ->
             (response as? StoreEntries)?.let { listing -> Decoded(listing.entries.firstOrNull()?.let { entryOf(it) }) }
         }
 
     override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> =
-        call({ store.list(prefix) }, StoreList(prefix), 0) { (response, relay) ->
+        call({ store.list(prefix) }, StoreList(prefix)) { (response, relay) ->
             (response as? StoreEntries)?.let { listing ->
                 Decoded(KeyValueListing(listing.entries.map { entryOf(it) }, listing.revision, relay))
             }
         }
 
     override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
-        call({ store.commit(transaction) }, messageOf(transaction), 0) { (response, _) ->
+        call({ store.commit(transaction) }, messageOf(transaction)) { (response, _) ->
             when (response) {
                 is StoreCommitted -> Decoded(TransactionOutcome.Committed(response.value))
                 is StoreEntries -> Decoded(TransactionOutcome.Declined(response.entries.map { entryOf(it) }))
@@ -62,54 +62,61 @@
         }
 
     override suspend fun grantLease(ttlSeconds: Long): Result<LeaseId, KeyValueError> =
-        call({ store.grantLease(ttlSeconds) }, StoreGrant(ttlSeconds), 0) { (response, _) ->
+        call({ store.grantLease(ttlSeconds) }, StoreGrant(ttlSeconds)) { (response, _) ->
             (response as? StoreCommitted)?.let { Decoded(LeaseId(it.value)) }
         }
 
     override suspend fun keepAlive(lease: LeaseId): Result<Unit, KeyValueError> =
-        call({ store.keepAlive(lease) }, StoreRenew(lease.value, false), 0) { Decoded(Unit) }
+        call({ store.keepAlive(lease) }, StoreRenew(lease.value, false)) { Decoded(Unit) }
 
     override suspend fun revoke(lease: LeaseId): Result<Unit, KeyValueError> =
-        call({ store.revoke(lease) }, StoreRenew(lease.value, true), 0) { Decoded(Unit) }
+        call({ store.revoke(lease) }, StoreRenew(lease.value, true)) { Decoded(Unit) }
 
     override fun watch(
         prefix: String,
         fromRevision: Long,
     ): Flow<KeyValueEntry> = store.watch(prefix, fromRevision)
 
+    /**
+     * Waits on one path only: a long poll on a silent path ends at its timeout. A poll without a wait is sent like any
+     * other read.
+     */
     override suspend fun changes(
         prefix: String,
         afterRevision: Long,
         waitMillis: Long,
-    ): Result<KeyValueChanges, KeyValueError> =
-        call(
-            { failover.cancelOnDirectFailure { feed.changes(prefix, afterRevision, waitMillis) } ?: Err(abandoned) },
-            StoreWatch(prefix, afterRevision, waitMillis),
-            waitMillis,
-        ) { (response, relay) ->
-            (response as? StoreChanges)?.let { changes ->
-                Decoded(KeyValueChanges(changes.changes.map { changeOf(it) }, changes.revision, relay))
-            }
-        }
-
-    private class Decoded<T>(val value: T)
+    ): Result<KeyValueChanges, KeyValueError> {
+        val message = StoreWatch(prefix, afterRevision, waitMillis)
+        if (waitMillis == 0L) return call({ feed.changes(prefix, afterRevision, 0) }, message, ::changesOf)
+        val direct = failover.directFirst()
+        val response =
+            failover.cancelOnPathChange {
+                if (direct) {
+                    feed.changes(prefix, afterRevision, waitMillis)
+                } else {
+                    callRelay(message, waitMillis, retryable = false, ::changesOf)
+                }
+            } ?: Err(abandoned)
+        val unavailable = response.fold({ false }, { it is KeyValueError.Unavailable && it !== abandoned })
+        if (direct && unavailable) failover.directFailed()
+        return response
+    }
 
     private suspend fun <T> call(
         direct: suspend () -> Result<T, KeyValueError>,
         message: PeerMessage,
-        waitMillis: Long,
         decode: (RelayedResponse) -> Decoded<T>?,
     ): Result<T, KeyValueError> {
         val retryable = message !is StoreCommit
         if (failover.directFirst()) {
-            val probe = retryable && waitMillis == 0L && failover.directSuspect
+            val probe = retryable && failover.directSuspect
             val directResult =
                 if (probe) withTimeoutOrNull(PROBE_MILLIS) { direct() } ?: Err(probeTimeout) else direct()
             val error = directResult.fold({ null }, { it as? KeyValueError.Unavailable })
-            if (error == null) failover.directSucceeded() else if (error !== abandoned) failover.directFailed()
+            if (error == null) failover.directSucceeded() else failover.directFailed()
             if (error == null || error.mayHaveApplied && !retryable) return directResult
         }
-        return callRelay(message, waitMillis, retryable, decode)
+        return callRelay(message, 0, retryable, decode)
     }
 
     private suspend fun <T> callRelay(
@@ -131,6 +138,13 @@
         )
 }
 
+private class Decoded<T>(val value: T)
+
+private fun changesOf(response: RelayedResponse): Decoded<KeyValueChanges>? =
+    (response.message as? StoreChanges)?.let { changes ->
+        Decoded(KeyValueChanges(changes.changes.map { changeOf(it) }, changes.revision, response.relay))
+    }
+
 private fun unexpectedResponse(response: PeerMessage): Result<Nothing, KeyValueError> {
     Logger.warn("event=relay_answer_unexpected type={}", response::class.simpleName)
     return Err(KeyValueError.Unavailable("unexpected response from a relay", mayHaveApplied = true))
@@ -141,4 +155,4 @@
 
 private val probeTimeout = KeyValueError.Unavailable("no response within $PROBE_MILLIS ms", mayHaveApplied = false)
 
-private val abandoned = KeyValueError.Unavailable("another direct call failed", mayHaveApplied = false)
+private val abandoned = KeyValueError.Unavailable("another path is used from now on", mayHaveApplied = false)
