Answer 503 instead of 404 while the configuration may be outdated

Callers saw: 404, which they do not retry, for routes that exist.

Cause: a process that had been without news from the key-value service for seconds still told callers with certainty that a route is absent. Class: an answer that claims more than the process knows.

The time within which a change must be in force is the same 2 s, so a 404 that contradicts a change in force is ruled out, whatever delays the news.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -88,6 +88,10 @@
     /** The latest proof that the configuration in force is the newest; null before the first one. */
     public val configurationConfirmation: WatchConfirmation? get() = watches.configurationConfirmation
 
+    /** Whether the configuration in force was known to be the newest recently enough to tell that a route is absent. */
+    public val configurationCurrent: Boolean
+        get() = configurationAgeMillis()?.let { it <= settings.follow.configurationStaleMillis } ?: false
+
     private val targetDependencies =
         TargetDependencies(
             gatewayState = gatewayState,
@@ -143,8 +147,7 @@
         metrics.gauge("members", "Registered processes.") { gatewayState.members.read().members.size }
         metrics.gauge("configuration_revision", "Configuration in force.") { gatewayState.routes.read().revision.value }
         metrics.gauge("configuration_age_seconds", "Time since the configuration was last known to be the newest.") {
-            val nowMillis = drivers.clock.monotonicMillis()
-            (nowMillis - (configurationConfirmation?.atMillis ?: startedAtMillis)) / MILLIS_PER_SECOND
+            (configurationAgeMillis() ?: (drivers.clock.monotonicMillis() - startedAtMillis)) / MILLIS_PER_SECOND
         }
         metrics.gauge("ready", "1 if the process takes work.") { if (ready) 1 else 0 }
         metrics.gauge("connections_opened", "Connections to targets opened since the start.") {
@@ -179,10 +182,9 @@
         host: String,
         path: String,
     ) {
-        val confirmation = configurationConfirmation
-        val ageMillis = confirmation?.let { drivers.clock.monotonicMillis() - it.atMillis }
         val revision = gatewayState.routes.read().revision.value
-        val inputs = "configuration $revision, confirmed $ageMillis ms ago, ${confirmation?.path}"
+        val ageMillis = configurationAgeMillis()
+        val inputs = "configuration $revision, confirmed $ageMillis ms ago, ${configurationConfirmation?.path}"
         journal.record(Decision("request/${id.value}", "no route", "the longest prefix", "$host$path", inputs))
     }
 
@@ -201,6 +203,9 @@
         Logger.info("event=stopped id={}", settings.id.value)
     }
 
+    private fun configurationAgeMillis(): Long? =
+        configurationConfirmation?.let { drivers.clock.monotonicMillis() - it.atMillis }
+
     private fun self(): GatewayMember =
         GatewayMember(
             id = settings.id,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -51,6 +51,11 @@
      * works again.
      */
     val configurationWaitMillis: Long = 1_500,
+    /**
+     * A process that has not known its configuration to be the newest for this long answers 503, not 404, where no
+     * route matches. A change must be applied within this time.
+     */
+    val configurationStaleMillis: Long = 2_000,
     /** How much longer than its long poll a call may take. */
     val marginMillis: Long = 500,
     /** Pause after a configuration change; a change must be applied within two seconds. */
