Load weights at as many engines at once as the weight store bears

Cause: at most two engines loaded at once, a setting made for six to eight engines. With 34 engines and three trainers that is 1.7 loads a second where 8 are needed, so that two versions later 3 to 7 engines hold a version that a step allows and its items queue there while the others are idle. Class: a limit that does not grow with the fleet.

Ruled out: placement by each owner's own view. The three owners filled the few eligible targets evenly (38, 31; 41, 28, 22, 21).

Change: the limit follows the loads' own durations (slow start, then additive increase and multiplicative decrease), up to half of the engines; the setting weights.maxLoads is gone.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightLoads.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightLoads.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.weights
 
+import bergamotwall.decisions.LoadConcurrency
 import bergamotwall.gateway.targets.Target
 import bergamotwall.model.ModelName
 import bergamotwall.model.TargetId
@@ -9,7 +10,9 @@
 
 /** Loads of weights that this process has planned or ordered and that have not ended. */
 internal class WeightLoads(private val dependencies: WeightRolloutDependencies) {
-    private class Load(val model: ModelName, val version: WeightVersion)
+    private class Load(val model: ModelName, val version: WeightVersion, val window: Long)
+
+    private val concurrency = LoadConcurrency()
 
     private val loads = ConcurrentHashMap<TargetId, Load>()
 
@@ -20,6 +23,12 @@
         dependencies.metrics.gauge("weight_loads", "Loads of weights that this process has ordered.") { loads.size }
     }
 
+    /** How many loads may be started now in a service of [engines] engines. */
+    fun room(engines: Int): Int = concurrency.limit(engines) - loads.size
+
+    /** Records that loads wait because there is no room for them. */
+    fun withheld(): Unit = concurrency.loadsWithheld()
+
     /** Targets that load [model] in [version] or a later one. */
     fun targetsOf(
         model: ModelName,
@@ -31,7 +40,7 @@
         model: ModelName,
         version: WeightVersion,
     ) {
-        loads[target] = Load(model, version)
+        loads[target] = Load(model, version, concurrency.currentWindow())
     }
 
     fun ended(target: TargetId) {
@@ -48,6 +57,7 @@
         tookMillis: Long,
     ) {
         dependencies.metrics.loaded(tookMillis)
+        loads[target.id]?.let { concurrency.loadEnded(it.window, tookMillis) }
         dependencies.journal.record(
             Decision(
                 subject = "target/${target.id.value}",
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -102,7 +102,10 @@
                 targets
             )
         }
-        planLoads(states, loads.targets, settings.maxLoads - loads.targets.size).forEach { (model, id) ->
+        val room = loads.room(states.flatMapTo(HashSet()) { state -> state.engines.map { it.id } }.size)
+        val planned = planLoads(states, loads.targets, room + 1)
+        if (planned.size > room) loads.withheld()
+        planned.take(maxOf(0, room)).forEach { (model, id) ->
             val namedVersion = states.first { it.model == model }.namedVersion
             loads.started(id, model, namedVersion)
             scope.launch {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightSettings.kt
@@ -11,8 +11,6 @@
      * Pause between the orders of two leaders, set by the platform: within it, engines treat the two as conflicting.
      */
     val pauseMillis: Long = 3_000,
-    /** Maximum number of engines that load at the same time; the weight store slows down with more. */
-    val maxLoads: Int = 2,
     /** Timeout of an order. Engines respond to an order immediately or not at all. */
     val orderTimeoutMillis: Long = 1_000,
     /** An engine that has not registered the version by then is queried for its state. A load takes about a second. */
