Never hold crashes of engines against items of a batch

Reported from another system: after a burst of crashes an item under which several targets had died was never placed again. It can happen here: content under which two targets crashed is refused for ten minutes in the whole fleet, that refusal ends the whole group, and the generations of a group share their prompt, so two crashes in a burst suffice. Class: evidence against a request applied to work that is owed.

Change: items of batches carry a flag with which crashes neither count against their content nor keep them from being placed. Callers' requests are still refused after two crashes, also where a batch has the same prompt.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/AdmissionControl.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/AdmissionControl.kt
@@ -19,7 +19,7 @@
         capacity: Int,
         nowMillis: Long,
     ): Problem? {
-        val quarantined = suspicion.verdict(request.fingerprint, nowMillis) == SuspicionVerdict.QUARANTINED
+        val quarantined = quarantined(request, nowMillis)
         val waitMillis = expectedWaitMillis(request, capacity)
         return when {
             quarantined -> problem(request, ProblemKind.QUARANTINED, QUARANTINED, capacity)
@@ -30,6 +30,13 @@
         }
     }
 
+    /** Whether [request] is refused because its content crashed its targets. Items of batches never are. */
+    fun quarantined(
+        request: DispatchRequest,
+        nowMillis: Long,
+    ): Boolean =
+        !request.fromBatch && suspicion.verdict(request.fingerprint, nowMillis) == SuspicionVerdict.QUARANTINED
+
     /** Whether the queues are full, so that a request of a lower class has to be shed before another is queued. */
     fun queuesFull(): Boolean = queues.size >= limits.maxQueued
 
--- a/decisions/src/main/kotlin/bergamotwall/decisions/AdmissionQueue.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/AdmissionQueue.kt
@@ -10,7 +10,6 @@
 internal class AdmissionQueue(
     private val queues: RequestQueues,
     private val admission: AdmissionControl,
-    private val suspicion: CrashSuspicion,
     private val targets: Targets,
     private val decisions: MutableList<DispatchDecision>,
 ) {
@@ -46,7 +45,7 @@
 
     fun refuseQuarantined(nowMillis: Long): Unit =
         queues
-            .removeIf { suspicion.verdict(it.request.fingerprint, nowMillis) == SuspicionVerdict.QUARANTINED }
+            .removeIf { admission.quarantined(it.request, nowMillis) }
             .forEach { refuse(it.request, ProblemKind.QUARANTINED, AdmissionControl.QUARANTINED, nowMillis) }
 
     private fun refuse(
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Dispatcher.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Dispatcher.kt
@@ -29,7 +29,7 @@
     private val decisions = ArrayList<DispatchDecision>()
     private val queues = RequestQueues(weightOf)
     private val admission = AdmissionControl(limits, queues, suspicion)
-    private val queue = AdmissionQueue(queues, admission, suspicion, targets, decisions)
+    private val queue = AdmissionQueue(queues, admission, targets, decisions)
     private val feedback = RunFeedback(limits, targets, suspicion, placement, admission.waits)
 
     /** Applies [event] at [nowMillis] and returns the resulting decisions. */
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Placement.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Placement.kt
@@ -49,7 +49,9 @@
     fun interrupted(
         permit: Permit,
         nowMillis: Long,
-    ): Unit = attribution.interrupted(permit.target, permit.request.fingerprint, nowMillis)
+    ) {
+        if (!permit.request.fromBatch) attribution.interrupted(permit.target, permit.request.fingerprint, nowMillis)
+    }
 
     private fun eligible(
         target: TargetState,
@@ -58,7 +60,8 @@
     ): Boolean = target.usable(nowMillis) && target.version >= request.minVersion
 
     /**
-     * Whether crash suspicion allows [request] on [target]. Content that never completed runs on a limited number of
+     * Whether crash suspicion allows [request] on [target]. An item of a batch is never suspected, as it is owed however
+     * many targets crashed under it. Other content that never completed runs on a limited number of
      * targets. A suspect also shares no target with another suspect, and stays away from targets that it may just have
      * crashed.
      */
@@ -67,6 +70,7 @@
         request: DispatchRequest,
         nowMillis: Long,
     ): Boolean {
+        if (request.fromBatch) return true
         val content = request.fingerprint
         val busy = permits.targetsOf(content)
         val exposed = busy.size + suspicion.crashedTargets(content, nowMillis)
--- a/decisions/src/test/kotlin/bergamotwall/decisions/DispatchFixture.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/DispatchFixture.kt
@@ -69,6 +69,7 @@
         minVersion: Long = 0,
         deadlineMillis: Long = 60_000,
         excluded: Set<String> = emptySet(),
+        fromBatch: Boolean = false,
     ): Unit =
         handle(
             DispatchEvent.RequestReceived(
@@ -86,6 +87,7 @@
                     deadlineInMillis = deadlineMillis,
                     excluded = excluded.map { TargetId(it) }.toSet(),
                     dataCentre = DataCentre("dc"),
+                    fromBatch = fromBatch,
                 ),
             ),
         )
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
@@ -72,6 +72,7 @@
             minVersion = { oldestAllowedVersion() },
             deadlineMillis = node.clock.monotonicMillis() + GENERATION_TIMEOUT_MILLIS,
             trace = null,
+            fromBatch = true,
         )
 
     private fun oldestAllowedVersion(): WeightVersion {
@@ -104,6 +105,6 @@
         private const val SUFFIX_CHARS = 8
         private const val GENERATION_TIMEOUT_MILLIS = 900_000L
         private const val RETRY_MILLIS = 200L
-        private val FATAL_KINDS = setOf(ProblemKind.QUARANTINED, ProblemKind.BAD_REQUEST, ProblemKind.NOT_FOUND)
+        private val FATAL_KINDS = setOf(ProblemKind.BAD_REQUEST, ProblemKind.NOT_FOUND)
     }
 }
--- a/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
@@ -8,7 +8,7 @@
 
 /**
  * One generation to run. Dispatch is fair between flows; within [flow], the request with the lowest [sequence] goes
- * first. [minVersion] returns the oldest weight version that may generate it at that moment.
+ * first. [fromBatch]: it is an item of a trainer's batch. [minVersion] returns the oldest weight version that may generate it at that moment.
  */
 internal data class GenerationRequest(
     val id: RequestId,
@@ -22,6 +22,7 @@
     val minVersion: () -> WeightVersion,
     val deadlineMillis: Long,
     val trace: String?,
+    val fromBatch: Boolean = false,
 )
 
 /** A completed generation. [versions] and [engines] are those that generated any of its text. */
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -186,6 +186,7 @@
                 deadlineInMillis = request.deadlineMillis - node.clock.monotonicMillis(),
                 excluded = setOfNotNull(lastFailed),
                 dataCentre = node.settings.dataCentre,
+                fromBatch = request.fromBatch,
             )
 
         private fun finished(
--- a/model/src/main/kotlin/bergamotwall/model/PeerMessage.kt
+++ b/model/src/main/kotlin/bergamotwall/model/PeerMessage.kt
@@ -100,7 +100,8 @@
 
 /**
  * Requests a permit for the request [id] from the entry that owns the dispatch shard; the response is
- * [PermitGranted] or [PeerRefusal].
+ * [PermitGranted] or [PeerRefusal]. [fromBatch]: the request is an item of a trainer's batch, which is owed whatever
+ * happened to the targets that ran it.
  */
 @Serializable
 @SerialName("of")
@@ -118,6 +119,7 @@
     val deadlineInMillis: Long,
     val excluded: Set<TargetId> = emptySet(),
     val dataCentre: DataCentre,
+    val fromBatch: Boolean = false,
 ) : PeerMessage
 
 /** Permit to run the request on [target] once. */
