--- a/decisions/src/main/kotlin/bergamotwall/decisions/Placement.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Placement.kt
@@ -60,10 +60,9 @@
     ): Boolean = target.usable(nowMillis) && target.version >= request.minVersion
 
     /**
-     * Whether crash suspicion allows [request] on [target]. An item of a batch is never suspected, as it is owed however
-     * many targets crashed under it. Other content that never completed runs on a limited number of
-     * targets. A suspect also shares no target with another suspect, and stays away from targets that it may just have
-     * crashed.
+     * Whether crash suspicion allows [request] on [target]. An item of a batch is never suspected: it is owed however
+     * many targets crashed under it. Other content that never completed runs on a limited number of targets. A suspect
+     * also shares no target with another suspect, and stays away from targets that it may just have crashed.
      */
     private fun safe(
         target: TargetState,
--- a/decisions/src/test/kotlin/bergamotwall/decisions/DispatcherTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/DispatcherTest.kt
@@ -218,32 +218,6 @@
                 expectThat(crashed).hasSize(CrashSuspicion.MAX_TARGETS)
                 expectThat(fixture.refusals.values.toSet()).containsExactly(ProblemKind.QUARANTINED)
             },
-            case("an item of a batch is placed again after a burst of crashes under it") {
-                val fixture = DispatchFixture(targets = 6)
-                repeat(5) { i ->
-                    fixture.submit("item$i", content = 99, fromBatch = true)
-                    val target = fixture.grants.getValue("item$i")
-                    fixture.finish("item$i", RunOutcome.BROKEN)
-                    fixture.report(target.value, bootId = "restart$i")
-                    fixture.nowMillis += 400
-                }
-                fixture.nowMillis += 10_000
-                fixture.submit("owed", content = 99, fromBatch = true)
-                expectThat(fixture.grants.keys).contains("owed")
-                expectThat(fixture.refusals.values.toList()).isEmpty()
-            },
-            case("an item of a batch is placed although a caller's request with its content is quarantined") {
-                val fixture = DispatchFixture(targets = 6)
-                repeat(2) { i ->
-                    fixture.submit("poison$i", content = 99)
-                    fixture.finish("poison$i", RunOutcome.BROKEN)
-                    fixture.report(fixture.grants.getValue("poison$i").value, bootId = "restart$i")
-                }
-                fixture.submit("again", content = 99)
-                fixture.submit("owed", content = 99, fromBatch = true)
-                expectThat(fixture.refusals.keys).containsExactly("again")
-                expectThat(fixture.grants.keys).contains("owed")
-            },
             case("equal, unproven prompts of a group run on two targets at most") {
                 val fixture = DispatchFixture(targets = 6)
                 repeat(12) { fixture.submit("g$it", content = 7) }
@@ -280,6 +254,37 @@
             },
         )
 
+    @TestFactory
+    fun `items under which targets crashed`(): List<DynamicTest> =
+        listOf(
+            case("an item of a batch is placed again after a burst of crashes under it") {
+                val fixture = DispatchFixture(targets = 6)
+                repeat(5) { i ->
+                    fixture.submit("item$i", content = 99, fromBatch = true)
+                    val target = fixture.grants.getValue("item$i")
+                    fixture.finish("item$i", RunOutcome.BROKEN)
+                    fixture.report(target.value, bootId = "restart$i")
+                    fixture.nowMillis += 400
+                }
+                fixture.nowMillis += 10_000
+                fixture.submit("owed", content = 99, fromBatch = true)
+                expectThat(fixture.grants.keys).contains("owed")
+                expectThat(fixture.refusals.values.toList()).isEmpty()
+            },
+            case("an item of a batch is placed although a caller's request with its content is quarantined") {
+                val fixture = DispatchFixture(targets = 6)
+                repeat(2) { i ->
+                    fixture.submit("poison$i", content = 99)
+                    fixture.finish("poison$i", RunOutcome.BROKEN)
+                    fixture.report(fixture.grants.getValue("poison$i").value, bootId = "restart$i")
+                }
+                fixture.submit("again", content = 99)
+                fixture.submit("owed", content = 99, fromBatch = true)
+                expectThat(fixture.refusals.keys).containsExactly("again")
+                expectThat(fixture.grants.keys).contains("owed")
+            },
+        )
+
     @TestFactory
     fun `choice of the replica`(): List<DynamicTest> =
         listOf(
--- a/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
@@ -8,7 +8,8 @@
 
 /**
  * One generation to run. Dispatch is fair between flows; within [flow], the request with the lowest [sequence] goes
- * first. [fromBatch]: it is an item of a trainer's batch. [minVersion] returns the oldest weight version that may generate it at that moment.
+ * first. [fromBatch]: it is an item of a trainer's batch. [minVersion] returns the oldest weight version
+ * that may generate it at that moment.
  */
 internal data class GenerationRequest(
     val id: RequestId,
