End responses of targets whose bytes never end

Users told us that a target in trouble may send bytes that are no answer without end, in a head or a body, until its caller closes.

Cause: an item's time limit started anew with every part that arrived, and the parser kept the current line without a bound, so that bytes that complete no event held an item's slot for ever and filled the memory; a forwarded stream had no time limit once its head had arrived; reports, service responses and the chunks of the product's own engine driver had no limit on their size. Class: a limit that starts anew with every part. Heads were bounded before.

Change: an item's time limit starts anew only with a complete event, and 1 MB without one ends the attempt; streams end at the caller's deadline or the route's timeout; responses that are kept whole are limited.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
@@ -18,6 +19,10 @@
 import kotlinx.serialization.SerializationException
 import java.util.concurrent.TimeUnit
 
+/** Limits a response that is kept in memory as a whole. */
+internal val boundedResponse: RequestOptions = RequestOptions.builder().maxResponseLength(MAX_RESPONSE_BYTES).build()
+
+private const val MAX_RESPONSE_BYTES = 33_554_432L
 private const val OK_STATUS = 200
 private const val TOO_MANY_REQUESTS = 429
 private const val SERVICE_UNAVAILABLE = 503
@@ -30,7 +35,7 @@
     timeoutMillis: Long,
 ): Result<AggregatedHttpResponse, TargetError> =
     catchErrors {
-        val response = awaitResponse(client.execute(request), timeoutMillis)
+        val response = awaitResponse(client.execute(request, boundedResponse), timeoutMillis)
         val error = errorOf(response.status().code())
         if (error == null) Ok(response) else Err(error)
     }
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -19,6 +19,7 @@
 import com.github.michaelbull.result.map
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.ContentTooLargeException
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
@@ -107,8 +108,14 @@
         errorOf(status)?.let { return Err(it) }
         val events = EventBuffer()
         var completed = false
+        var bytesWithoutEvent = 0
         split.body().collect { data ->
-            events.add(data.toStringUtf8()).forEach { event ->
+            val received = events.add(data.toStringUtf8())
+            bytesWithoutEvent = if (received.isEmpty()) bytesWithoutEvent + data.length() else 0
+            if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
+                throw ContentTooLargeException.builder().maxContentLength(MAX_BYTES_WITHOUT_EVENT.toLong()).build()
+            }
+            received.forEach { event ->
                 if (event == DONE) {
                     completed = true
                 } else {
@@ -121,6 +128,9 @@
 
     private companion object {
         private const val DONE = "[DONE]"
+
+        /** Far more than a chunk of text; bytes that form no event come from a target in trouble. */
+        private const val MAX_BYTES_WITHOUT_EVENT = 1_048_576
     }
 }
 
@@ -135,7 +145,7 @@
         request.trace?.let { headers.set("traceparent", it) }
         val call = HttpRequest.of(headers.build(), HttpData.ofUtf8(request.body))
         return catchErrors {
-            val response = awaitResponse(client.execute(call), request.timeoutMillis)
+            val response = awaitResponse(client.execute(call, boundedResponse), request.timeoutMillis)
             val type = response.contentType()?.toString() ?: MediaType.PLAIN_TEXT_UTF_8.toString()
             Ok(ServiceResponse(response.status().code(), type, response.contentUtf8()))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/EventParser.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/EventParser.kt
@@ -10,6 +10,10 @@
  * once the blank line that ends it was received.
  */
 internal class EventParser {
+    /** Bytes received since the last complete event; what the parser keeps in memory is no more than these. */
+    var bytesWithoutEvent = 0
+        private set
+
     private val currentLine = ByteArrayOutputStream()
     private val data = ArrayList<String>()
     private val fields = HashMap<String, String>()
@@ -26,6 +30,7 @@
             completeLine()?.let { events += it }
         }
         currentLine.write(bytes, start, bytes.size - start)
+        bytesWithoutEvent = if (events.isEmpty()) bytesWithoutEvent + bytes.size else bytes.size - start
         return events
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
@@ -13,7 +13,11 @@
     private val parser = EventParser()
 
     /** Adds the next [bytes] of the response; returns the outcome of a run that cannot continue, else null. */
-    fun add(bytes: ByteArray): ItemOutcome? = parser.add(bytes).firstNotNullOfOrNull { append(it) }
+    fun add(bytes: ByteArray): ItemOutcome? =
+        parser.add(bytes).firstNotNullOfOrNull { append(it) }
+            ?: ItemOutcome.Broken("no event in $MAX_BYTES_WITHOUT_EVENT bytes").takeIf {
+                parser.bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT
+            }
 
     private fun append(event: StreamEvent): ItemOutcome? {
         version = protocol.eventVersion(event.fields)?.let { WeightVersion(it) } ?: version
@@ -23,4 +27,9 @@
             else -> null
         }
     }
+
+    private companion object {
+        /** The key-value service stores no larger values. */
+        private const val MAX_BYTES_WITHOUT_EVENT = 1_048_576
+    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -12,8 +12,8 @@
 import java.util.Base64
 
 /**
- * Runs single attempts of items at targets and collects the generated text. An attempt fails if the target sends
- * nothing for [idleTimeoutMillis]. Confined to the batch loop.
+ * Runs single attempts of items at targets and collects the generated text. An attempt fails if the target completes
+ * no event for [idleTimeoutMillis], whatever else it sends. Confined to the batch loop.
  */
 internal class ItemRunner(
     private val dependencies: TargetDependencies,
@@ -67,7 +67,7 @@
         target: Target,
         parts: ReceiveChannel<ResponsePart>,
     ): ItemOutcome =
-        when (val first = next(parts)) {
+        when (val first = next(parts, idleTimeoutMillis)) {
             is ResponsePart.Head -> handleHead(batch, item, target, first, parts)
             is ResponsePart.Broken -> outcomeOf(first)
             else -> ItemOutcome.Broken("no response within $idleTimeoutMillis ms")
@@ -101,22 +101,29 @@
         parts: ReceiveChannel<ResponsePart>,
     ): ItemOutcome {
         val collector = ItemCollector(batch, item, dependencies.protocol, firstVersion)
+        var progressAtMillis = dependencies.clock.monotonicMillis()
+        var eventsBefore = item.eventCount
         var outcome: ItemOutcome? = null
         while (outcome == null) {
+            if (item.eventCount > eventsBefore) progressAtMillis = dependencies.clock.monotonicMillis()
+            eventsBefore = item.eventCount
+            val remainingMillis = progressAtMillis + idleTimeoutMillis - dependencies.clock.monotonicMillis()
             outcome =
-                when (val part = next(parts)) {
+                when (val part = next(parts, remainingMillis)) {
                     is ResponsePart.Body -> collector.add(part.bytes)
                     is ResponsePart.End -> ItemOutcome.Whole
                     is ResponsePart.Broken -> outcomeOf(part)
                     is ResponsePart.Head -> ItemOutcome.Broken("second response head")
-                    null -> ItemOutcome.Broken("no data for $idleTimeoutMillis ms")
+                    null -> ItemOutcome.Broken("no event for $idleTimeoutMillis ms")
                 }
         }
         return outcome
     }
 
-    private suspend fun next(parts: ReceiveChannel<ResponsePart>): ResponsePart? =
-        withTimeoutOrNull(idleTimeoutMillis) { parts.receiveCatching().getOrNull() }
+    private suspend fun next(
+        parts: ReceiveChannel<ResponsePart>,
+        timeoutMillis: Long,
+    ): ResponsePart? = withTimeoutOrNull(timeoutMillis) { parts.receiveCatching().getOrNull() }
 
     private fun outcomeOf(part: ResponsePart.Broken): ItemOutcome =
         if (part.mayHaveRun) ItemOutcome.Broken(part.reason) else ItemOutcome.NotRun(part.reason)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardOutcome.kt
@@ -8,8 +8,15 @@
     /** A target's complete response. */
     public class Completed(public val head: ResponsePart.Head, public val body: ByteArray) : ForwardOutcome
 
-    /** The head of a target's streamed response; the body follows on [exchange]. */
-    public class Streaming(public val head: ResponsePart.Head, public val exchange: TargetExchange) : ForwardOutcome
+    /**
+     * The head of a target's streamed response; the body follows on [exchange] and must end within [remainingMillis],
+     * the caller's deadline or the route's timeout.
+     */
+    public class Streaming(
+        public val head: ResponsePart.Head,
+        public val exchange: TargetExchange,
+        public val remainingMillis: Long,
+    ) : ForwardOutcome
 
     /** No target ran the request and none will; the caller may retry after [retryAfterMillis]. */
     public data class NotRun(val reason: String, val retryAfterMillis: Long) : ForwardOutcome
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -121,7 +121,10 @@
             inFlight--
             return when (outcome) {
                 is AttemptOutcome.Complete -> onComplete(outcome, scope)
-                is AttemptOutcome.StreamStarted -> ForwardOutcome.Streaming(outcome.head, outcome.exchange)
+                is AttemptOutcome.StreamStarted -> {
+                    val remainingMillis = deadlineAtMillis - dependencies.clock.monotonicMillis()
+                    ForwardOutcome.Streaming(outcome.head, outcome.exchange, remainingMillis)
+                }
                 is AttemptOutcome.NotRun -> onNotRun(outcome, scope)
                 is AttemptOutcome.Broken -> onBroken(outcome, scope)
             }
