Send readers to the service while an append is unresolved

Cause: readers that got no response from the owner of a batch in time read the key-value service. A chunk of results that is stored there, but whose response the owner has not received, is visible to them and not at the owner. If the batch ends at that moment the owner never learns of the chunk. Class: two views of one state, of which the older one answers.

Change: an owner that has nothing at a position while an append is unresolved does not answer, and the reader's process reads the service.

Also: a direct long poll is cancelled only when a direct call fails, a relayed one only when one succeeds again; before, each change cancelled both.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchPeerHandler.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchPeerHandler.kt
@@ -29,7 +29,7 @@
                 ownedBatches
                     .find(message.batch)
                     ?.let { it.page(message.after, message.waitMillis, pageChars) }
-                    ?: NotOwner
+                    ?: NotOwner // the caller reads the key-value service instead
             is FetchItem -> ownedBatches.find(message.batch)?.let { ItemBody(it.body(message.item)) } ?: NotOwner
             is EndBatch -> ownedBatches.find(message.batch)?.let { endResponse(ownedBatches.end(it)) } ?: NotOwner
             else -> null
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -70,7 +70,10 @@
     ): ReadOutcome =
         withContext(loop) {
             val owned = ownedBatches.find(batch)
-            if (owned != null) return@withContext ReadOutcome.Page(owned.page(after, waitMillis, settings.pageChars))
+            if (owned != null) {
+                val page = owned.page(after, waitMillis, settings.pageChars)
+                return@withContext if (page != null) ReadOutcome.Page(page) else remoteBatches.read(batch, after, 0)
+            }
             val response =
                 remoteBatches.requestFromOwner(
                     batch,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -58,6 +58,12 @@
     /** Number of items that are not done. */
     val unfinished: Int get() = items.values.count { !it.done }
 
+    /**
+     * Whether a chunk of results has been sent to the key-value service and it is not known whether it is stored.
+     * Readers that asked the service may have seen its results.
+     */
+    var appendUnresolved = false
+
     /** Number of results that are stored durably. */
     val storedResultCount: Int get() = results.size
 
@@ -93,17 +99,18 @@
 
     /**
      * Returns the results from position [after] on that fit in [maxChars], waiting up to [waitMillis] for the first
-     * one.
+     * one. Returns null if there is none but the key-value service may hold some.
      */
     suspend fun page(
         after: Int,
         waitMillis: Long,
         maxChars: Int,
-    ): BatchPage {
+    ): BatchPage? {
         if (results.size <= after && waitMillis > 0 && results.size < record.items.size) {
             withTimeoutOrNull(waitMillis) { storedCount.first { it > after } }
         }
-        return pageOf(record.items.size, results, after, maxChars)
+        val mayLackResults = results.size <= after && appendUnresolved
+        return if (mayLackResults) null else pageOf(record.items.size, results, after, maxChars)
     }
 
     /** Request body of [item] in base64, or null if the batch has no such item. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
@@ -43,9 +43,16 @@
         val chunk = batch.pendingResults.take(MAX_RESULTS_PER_CHUNK)
         var retries = 0
         while (batch.active) {
+            batch.appendUnresolved = true
             when (store.append(batch.record.id, batch.ownershipRecord.revision, batch.storedResultCount, chunk)) {
-                AppendOutcome.APPENDED -> return batch.markStored(chunk.size)
-                AppendOutcome.FENCED -> return handleFenced(batch)
+                AppendOutcome.APPENDED -> {
+                    batch.appendUnresolved = false
+                    return batch.markStored(chunk.size)
+                }
+                AppendOutcome.FENCED -> {
+                    batch.appendUnresolved = false
+                    return handleFenced(batch)
+                }
                 AppendOutcome.UNKNOWN -> delay(
                     minOf(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS shl minOf(retries++, MAX_SHIFT))
                 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
@@ -31,7 +31,8 @@
 ) {
     private val relays = Relays(self, members, peers, clock, random)
     private val relayUntilMillis = AtomicLong(NEVER)
-    private val directTransitions = MutableStateFlow(0)
+    private val directFailures = MutableStateFlow(0)
+    private val directRecoveries = MutableStateFlow(0)
     private val noRelayUntilMillis = AtomicLong(NEVER)
 
     /** Whether the next call should be sent directly first. */
@@ -48,25 +49,29 @@
     fun directSucceeded() {
         if (relayUntilMillis.getAndSet(NEVER) == NEVER) return
         Logger.info("event={}", "store_direct")
-        directTransitions.update { it + 1 }
+        directRecoveries.update { it + 1 }
     }
 
     /** Records that a direct call failed; calls are relayed for [FAILOVER_MILLIS] from now on. */
     fun directFailed() {
         val before = relayUntilMillis.getAndSet(clock.monotonicMillis() + FAILOVER_MILLIS)
         if (before == NEVER) Logger.warn("event={}", "store_relayed")
-        directTransitions.update { it + 1 }
+        directFailures.update { it + 1 }
     }
 
     /**
      * Runs the long poll [call]. Cancels it and returns null as soon as a direct call shows that another path should be
-     * used: it fails, or succeeds after calls were relayed.
+     * used: if [call] is [direct], when one fails, otherwise when one succeeds again.
      */
-    suspend fun <T : Any> cancelOnPathChange(call: suspend () -> T): T? =
+    suspend fun <T : Any> cancelOnPathChange(
+        direct: Boolean,
+        call: suspend () -> T,
+    ): T? =
         coroutineScope {
-            val before = directTransitions.value
+            val transitions = if (direct) directFailures else directRecoveries
+            val before = transitions.value
             val response = async { call() }
-            val changed = async { directTransitions.first { it != before } }
+            val changed = async { transitions.first { it != before } }
             select<T?> {
                 response.onAwait { it }
                 changed.onAwait { null }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
@@ -90,7 +90,7 @@
         if (waitMillis == 0L) return call({ feed.changes(prefix, afterRevision, 0) }, message, ::changesOf)
         val direct = failover.directFirst()
         val response =
-            failover.cancelOnPathChange {
+            failover.cancelOnPathChange(direct) {
                 if (direct) {
                     feed.changes(prefix, afterRevision, waitMillis)
                 } else {
