--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -43,7 +43,7 @@
     /** Target to which an item of each group was sent last. */
     val groupTargets: MutableMap<String, TargetId> = HashMap()
 
-    /** How the placement of the batch went, for its log lines. */
+    /** Waits and eligible targets of its items, for the log. */
     val placement = PlacementSummary()
 
     /** Whether the trainer has ended the batch. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/PlacementSummary.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/PlacementSummary.kt
@@ -1,11 +1,11 @@
 package bergamotwall.gateway.batches
 
-/** What the placement of a batch's items saw, for the log. Confined to the batch loop. */
+/** How long the items of a batch waited to be sent and where they could go, for the log. Confined to the batch loop. */
 internal class PlacementSummary {
-    /** Targets of the batch's services that can be used, in the last dispatch. */
+    /** Number of targets that were in use in the last dispatch, those of other batches included. */
     var usableTargets = 0
 
-    /** Those of them whose weights the batch allows. */
+    /** Number of those whose service and weights the batch allows. */
     var eligibleTargets = 0
 
     private var sent = 0
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightLoads.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightLoads.kt
@@ -14,6 +14,7 @@
 
     private val concurrency = LoadConcurrency()
 
+    /** Concurrent, because metrics read its size on another thread. */
     private val loads = ConcurrentHashMap<TargetId, Load>()
 
     /** Targets with a load. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -103,6 +103,7 @@
             )
         }
         val room = loads.room(states.flatMapTo(HashSet()) { state -> state.engines.map { it.id } }.size)
+        // One more than there is room for, to see whether loads have to wait.
         val planned = planLoads(states, loads.targets, room + 1)
         if (planned.size > room) loads.withheld()
         planned.take(maxOf(0, room)).forEach { (model, id) ->
