--- a/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
@@ -52,8 +52,10 @@
         val framesBefore = connection.framesRead
         val remainingMillis = timeoutMillis - started.elapsedNow().inWholeMilliseconds
         val response = withTimeoutOrNull(remainingMillis) { connection.exchange(message, trace) }
-        // A connection can stop delivering without a reset. Closing it makes the next call open a new one.
-        if (response == null && connection.framesRead == framesBefore) connection.close()
+        // A connection can stop delivering without a reset. Closing it makes the next call open a new one. A call that
+        // spent its time on connecting has not waited long enough to tell.
+        val waitedLong = remainingMillis > timeoutMillis / 2
+        if (response == null && waitedLong && connection.framesRead == framesBefore) connection.close()
         return if (response == null) Err(PeerError.NoResponse("no response from $address")) else Ok(response)
     }
 
