--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -71,9 +71,11 @@
         feed.changes(prefix, fromRevision, waitMillis).fold(
             success = { response ->
                 onSuccess()
-                // The service answers a poll without changes no sooner than after the wait.
-                val emptyAtMillis = if (response.changes.isEmpty()) sentAtMillis + waitMillis else Long.MAX_VALUE
-                confirm(minOf(emptyAtMillis, clock.monotonicMillis()), response.relay)
+                val receivedAtMillis = clock.monotonicMillis()
+                // A response without changes may have been delayed since the end of the wait.
+                val currentAtMillis =
+                    if (response.changes.isEmpty()) minOf(sentAtMillis + waitMillis, receivedAtMillis) else receivedAtMillis
+                confirm(currentAtMillis, response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
                 if (response.changes.isNotEmpty()) {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/UnreliableNetwork.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/UnreliableNetwork.kt
@@ -22,13 +22,13 @@
 
 /**
  * Network between a process, the key-value service and its peers, in virtual time. A call receives no response if its
- * path was interrupted at any moment from the time it was sent: later interruptions silence its connection for good.
+ * path was interrupted at any moment between its request and its response.
  */
 internal class UnreliableNetwork(private val nowMillis: () -> Long) {
-    /** Periods, by path, in which nothing arrives; an empty period silences the connections open at that moment. */
+    /** Interrupted periods, by path. A period of no length interrupts only the calls in progress at that moment. */
     val interruptions = ArrayList<Pair<String, LongRange>>()
 
-    /** Idle connections to the service that were silenced; the next direct calls are sent on them. */
+    /** Number of idle connections to the service that deliver nothing; the next direct calls are sent on these. */
     var silencedIdleConnections = 0
 
     /** Keys under the watched prefix, with the time of their only write. */
