--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -73,9 +73,8 @@
                 onSuccess()
                 val receivedAtMillis = clock.monotonicMillis()
                 // A response without changes may have been delayed since the end of the wait.
-                val currentAtMillis =
-                    if (response.changes.isEmpty()) minOf(sentAtMillis + waitMillis, receivedAtMillis) else receivedAtMillis
-                confirm(currentAtMillis, response.relay)
+                val waitEndMillis = if (response.changes.isEmpty()) sentAtMillis + waitMillis else receivedAtMillis
+                confirm(minOf(waitEndMillis, receivedAtMillis), response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
                 if (response.changes.isNotEmpty()) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayFailover.kt
@@ -79,9 +79,9 @@
         }
 
     /**
-     * Sends [message] through another process, or through several if it is [retryable]. The relay may take [waitMillis]
-     * longer than for a call that returns immediately. A long poll must not be [retryable]: it takes long on a path that
-     * works too, which is no reason to send it to another relay.
+     * Sends [message] through another process, or through several if it is [retryable]. The relay may take
+     * [waitMillis] longer than for a call that returns immediately. A long poll must not be [retryable]: it takes long
+     * also on a path that works, which is no reason to send it to another relay.
      */
     suspend fun request(
         message: PeerMessage,
