End completions at engines that send no event

Callers saw: a generation at an engine that sends interim heads, comments or fields without end, or nothing at all, was held until the deadline of the request; an item of a batch for up to 15 minutes.

Cause: the engine driver limited the bytes without an event, not the time, and nothing at all before the final head.

Change: EngineDriver fails a completion once no event has come for 60 s; the time that the caller takes for a chunk does not count. CompletionEvents holds the state of one stream. EndlessTarget moves to the stand-ins, for both modules.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -19,7 +19,6 @@
 import com.github.michaelbull.result.map
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.client.WebClient
-import com.linecorp.armeria.common.ContentTooLargeException
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
@@ -27,8 +26,12 @@
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.produceIn
 import kotlinx.coroutines.future.await
-import kotlinx.coroutines.reactive.collect
+import kotlinx.coroutines.reactive.asFlow
+import kotlinx.coroutines.withTimeoutOrNull
+import org.reactivestreams.Publisher
 import java.time.Duration
 
 private const val CONNECT_TIMEOUT_MILLIS = 1_000L
@@ -37,6 +40,9 @@
 private const val CONTROL_TIMEOUT_MILLIS = 1_000L
 private const val IDLE_TIMEOUT_SECONDS = 5L
 
+/** Longer than an engine takes to process a long prompt before its first chunk. */
+private const val EVENT_IDLE_TIMEOUT_MILLIS = 60_000L
+
 /** HTTP client for targets. It uses cleartext HTTP/1.1, so that cancelling a run closes its connection immediately. */
 public fun targetClient(): WebClient {
     val factory =
@@ -53,8 +59,11 @@
         .build()
 }
 
-/** Engine driver over [client]. */
-public fun EngineDriver(client: WebClient): EngineDriver = HttpEngineDriver(client)
+/** Engine driver over [client]. A completion fails if the engine sends no event for [idleTimeoutMillis]. */
+public fun EngineDriver(
+    client: WebClient,
+    idleTimeoutMillis: Long = EVENT_IDLE_TIMEOUT_MILLIS,
+): EngineDriver = HttpEngineDriver(client, idleTimeoutMillis)
 
 /** Service driver over [client]. */
 public fun ServiceDriver(client: WebClient): ServiceDriver = HttpServiceDriver(client)
@@ -65,7 +74,7 @@
     address: String,
 ): VmListSource = HttpVmListSource(client, address)
 
-internal class HttpEngineDriver(private val client: WebClient) : EngineDriver {
+internal class HttpEngineDriver(private val client: WebClient, private val idleTimeoutMillis: Long) : EngineDriver {
     override suspend fun report(address: String): Result<TargetReport, TargetError> =
         exchange(client, get(address, "/admin/report"), CONTROL_TIMEOUT_MILLIS)
             .andThen { parse(it, TargetReport.serializer()) }
@@ -104,34 +113,33 @@
         onChunk: suspend (EngineChunk) -> Unit,
     ): Result<Unit, TargetError> {
         val split = response.split()
-        val status = split.headers().await().status().code()
-        errorOf(status)?.let { return Err(it) }
-        val events = EventBuffer()
-        var completed = false
-        var bytesWithoutEvent = 0
-        split.body().collect { data ->
-            val received = events.add(data.toStringUtf8())
-            bytesWithoutEvent = if (received.isEmpty()) bytesWithoutEvent + data.length() else 0
-            if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
-                throw ContentTooLargeException.builder().maxContentLength(MAX_BYTES_WITHOUT_EVENT.toLong()).build()
+        val head = withTimeoutOrNull(idleTimeoutMillis) { split.headers().await() }
+        val error = if (head == null) noEvent() else errorOf(head.status().code())
+        return if (error == null) receive(split.body(), CompletionEvents(onChunk)) else Err(error)
+    }
+
+    private suspend fun receive(
+        body: Publisher<HttpData>,
+        events: CompletionEvents,
+    ): Result<Unit, TargetError> =
+        coroutineScope {
+            val parts = body.asFlow().produceIn(this)
+            var error: TargetError? = null
+            var open = true
+            while (open && error == null) {
+                val remainingMillis = idleTimeoutMillis - events.idleMillis
+                val part = withTimeoutOrNull(remainingMillis) { parts.receiveCatching() }
+                if (part == null) error = noEvent() else open = part.getOrNull()?.let { events.add(it) } != null
             }
-            received.forEach { event ->
-                if (event == DONE) {
-                    completed = true
-                } else {
-                    onChunk(Jsons.wire.decodeFromString(CompletionEvent.serializer(), event).toChunk())
-                }
+            parts.cancel()
+            when {
+                error != null -> Err(error)
+                events.completed -> Ok(Unit)
+                else -> Err(TargetError.Broken("stream ended without [DONE]"))
             }
         }
-        return if (completed) Ok(Unit) else Err(TargetError.Broken("stream ended without [DONE]"))
-    }
-
-    private companion object {
-        private const val DONE = "[DONE]"
 
-        /** Far more than a chunk of text; bytes that form no event come from a target in trouble. */
-        private const val MAX_BYTES_WITHOUT_EVENT = 1_048_576
-    }
+    private fun noEvent() = TargetError.Broken("no event for $idleTimeoutMillis ms")
 }
 
 internal class HttpServiceDriver(private val client: WebClient) : ServiceDriver {
--- a/platform/src/test/kotlin/bergamotwall/platform/EndlessTarget.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/EndlessTarget.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.standins.fakes
 
 import java.io.IOException
 import java.net.InetAddress
@@ -8,19 +8,27 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
-/** Target that answers each connection with [head], then with [filler] as fast as the caller reads, until it closes. */
-internal class EndlessTarget(private val head: String, private val filler: String) : AutoCloseable {
+/**
+ * Target that answers each connection with [head], then with [filler] as fast as the caller reads, until it closes.
+ * Pauses for [pauseMillis] after each few kilobytes.
+ */
+public class EndlessTarget(
+    private val head: String,
+    private val filler: String,
+    private val pauseMillis: Long = 0,
+) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
     /** Connections that the caller has closed. */
-    val closedByCaller = AtomicInteger()
+    public val closedByCaller: AtomicInteger = AtomicInteger()
 
     /** Bytes of all responses so far. */
-    val bytesSent = AtomicLong()
+    public val bytesSent: AtomicLong = AtomicLong()
 
     private val repeated = filler.repeat(WRITE_BYTES / filler.length).toByteArray()
 
-    val address: String get() = "127.0.0.1:${server.localPort}"
+    /** Where it accepts connections, `host:port`. */
+    public val address: String get() = "127.0.0.1:${server.localPort}"
 
     init {
         thread(isDaemon = true) { acceptUntilClosed() }
@@ -46,6 +54,7 @@
             output.write(head.toByteArray())
             while (true) {
                 output.write(repeated)
+                if (pauseMillis > 0) Thread.sleep(pauseMillis)
                 bytesSent.addAndGet(repeated.size.toLong())
             }
         } catch (@Suppress("SwallowedException") e: IOException) {
