Credit a target with its own attempt at a generation only

Callers saw nothing directly. A target that resumed a generation was credited with the first attempt's latency, so that its window learned a wrong one, with all tokens, and with weight versions that only the target before it held: the dispatcher then sent it requests that need a newer version than it has.

Cause: GenerationRunner kept these figures for the generation, not for the attempt that it reports.

Change: EngineRun holds what one attempt has received. An attempt without a chunk reports its duration as latency.

Evidence: GenerationRunnerTest, new case: before [e2: 700 ms, 3 tokens, versions 3 2], now [e2: 50 ms, 1 token, version 2].

--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -68,7 +68,6 @@
         private val usedEngines = LinkedHashSet<TargetId>()
         private var lastFailed: TargetId? = null
         private var tokens = 0
-        private var firstTokenMillis = 0L
         private var finishReason = ""
 
         suspend fun run(): Result<Generation, Problem> {
@@ -108,7 +107,7 @@
             dispatchRequest: DispatchRequest,
             permit: PermitGranted,
         ): Result<Unit, TargetError> {
-            val attemptStartMillis = node.clock.monotonicMillis()
+            val run = EngineRun(permit.target, node.clock.monotonicMillis())
             var outcome = RunOutcome.CANCELLED
             try {
                 val result =
@@ -117,25 +116,24 @@
                         engines.complete(
                             permit.address,
                             engineRequestOf(dispatchRequest, hop.traceparent, request, text.toString(), tokens)
-                        ) { received(it, permit.target, attemptStartMillis) }
+                        ) { received(it, run) }
                     }
                 outcome = result.fold({ RunOutcome.WHOLE }, { outcomeOf(it) })
                 return result
             } finally {
-                permits.finish(finished(dispatchRequest, permit, outcome, attemptStartMillis))
+                permits.finish(finished(dispatchRequest, permit, outcome, run))
             }
         }
 
         private suspend fun received(
             chunk: EngineChunk,
-            target: TargetId,
-            attemptStartMillis: Long,
+            run: EngineRun,
         ) {
             if (chunk.text.isNotEmpty()) {
                 versions += chunk.version
-                usedEngines += target
+                usedEngines += run.target
             }
-            if (firstTokenMillis == 0L) firstTokenMillis = maxOf(1, node.clock.monotonicMillis() - attemptStartMillis)
+            run.received(chunk, node.clock.monotonicMillis())
             text.append(chunk.text)
             tokens += chunk.tokens
             finishReason = chunk.finishReason ?: finishReason
@@ -193,10 +191,15 @@
             dispatchRequest: DispatchRequest,
             permit: PermitGranted,
             outcome: RunOutcome,
-            attemptStartMillis: Long,
-        ): RunFinished =
-            finishedOf(dispatchRequest, permit, outcome, node.clock.monotonicMillis() - attemptStartMillis)
-                .copy(firstTokenMillis = firstTokenMillis, tokens = tokens, versions = versions.toList())
+            run: EngineRun,
+        ): RunFinished {
+            val durationMillis = node.clock.monotonicMillis() - run.startedAtMillis
+            return finishedOf(dispatchRequest, permit, outcome, durationMillis).copy(
+                firstTokenMillis = run.firstTokenMillis ?: durationMillis,
+                tokens = run.tokens,
+                versions = run.versions.toList(),
+            )
+        }
 
         private fun completed(): Generation {
             journal(
--- a/entry/src/test/kotlin/bergamotwall/entry/GenerationRunnerTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/GenerationRunnerTest.kt
@@ -1,13 +1,20 @@
 package bergamotwall.entry
 
+import bergamotwall.drivers.EngineChunk
+import bergamotwall.drivers.EngineDriver
+import bergamotwall.drivers.EngineRequest
+import bergamotwall.drivers.TargetError
 import bergamotwall.model.RunOutcome
 import bergamotwall.standins.fakes.ManualClock
 import bergamotwall.standins.fakes.MemoryKeyValueStore
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 
 internal class GenerationRunnerTest {
@@ -84,4 +91,33 @@
             expectThat(engines.requests[1].resumeFrom).isEqualTo("x".repeat(chunks))
             expectThat(engines.requests[1].maxTokens).isEqualTo(maxTokens - chunks)
         }
+
+    @Test
+    fun `a target is credited with the latency, tokens and versions of its own attempt only`(): Unit =
+        runBlocking {
+            val clock = ManualClock()
+            val permits = FakePermitSource(listOf("e1", "e2"))
+            val runs = ScriptedEngines("a:3 b:3 break", "c:2 end")
+            val latenciesMillis = ArrayDeque(listOf(700L, 50L))
+            val engines =
+                object : EngineDriver by runs {
+                    override suspend fun complete(
+                        address: String,
+                        request: EngineRequest,
+                        onChunk: suspend (EngineChunk) -> Unit,
+                    ): Result<Unit, TargetError> {
+                        clock.advance(latenciesMillis.removeFirst())
+                        return runs.complete(address, request, onChunk)
+                    }
+                }
+            val node = entryNode("a", MemoryKeyValueStore(ManualClock()), clock = clock)
+            GenerationRunner(node, permits, engines, RetryBudgets()).run(generationRequest(node)) { }
+            val credited =
+                permits.finished.map { run ->
+                    val versions = run.versions.map { it.value }
+                    "${run.target.value}: ${run.firstTokenMillis} ms, ${run.tokens} tokens, versions $versions"
+                }
+            expectThat(credited)
+                .containsExactly("e1: 700 ms, 2 tokens, versions [3]", "e2: 50 ms, 1 tokens, versions [2]")
+        }
 }
--- a/model/src/main/kotlin/bergamotwall/model/PeerMessage.kt
+++ b/model/src/main/kotlin/bergamotwall/model/PeerMessage.kt
@@ -152,7 +152,10 @@
     BROKEN,
 }
 
-/** Returns a permit and reports how the run ended; the response is [Done]. */
+/**
+ * Returns a permit and reports how the run ended; the response is [Done]. All figures are those of this run alone, also
+ * if it resumed an earlier one. [firstTokenMillis] is [durationMillis] if there was no token.
+ */
 @Serializable
 @SerialName("fi")
 public data class RunFinished(
