Keep a relay's response that arrives just as the next relay is tried

Cause: the relayed call received responses from a channel inside withTimeoutOrNull, with the hedging delay as timeout. If a response is handed to the receiver and the timeout fires before the receiver runs, the coroutine is cancelled and the response is gone. It stays counted as in flight; once the other relays have failed, the call waits without a limit for a response that never comes. Any relayed call could hang: a watch, a renewal, an append of results. Class: a timeout that discards what has already been received.

Ruled out: the service, which delivered the changes to the others; an exception in the watch, as none of the recorded errors leaves it; the leases of the process, as its other watches do not depend on them.

Change: PendingResults keeps each result in its Deferred until it is taken, so a timeout can't lose it.

--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/concurrent/PendingResults.kt
@@ -0,0 +1,33 @@
+package bergamotwall.gateway.concurrent
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+
+/**
+ * Results of calls that run in [scope] at the same time. A result stays available until [next] returns it: unlike an
+ * element of a channel, it can't be lost if it arrives just as a receiver times out. Not thread-safe.
+ */
+internal class PendingResults<T : Any>(private val scope: CoroutineScope) {
+    private val pending = ArrayList<Deferred<T>>()
+
+    /** Number of calls whose results [next] has not returned. */
+    val count: Int get() = pending.size
+
+    /** Starts [call]. */
+    fun start(call: suspend () -> T) {
+        pending += scope.async { call() }
+    }
+
+    /** Waits for the next result; returns null if there is none within [timeoutMillis]. */
+    suspend fun next(timeoutMillis: Long = Long.MAX_VALUE): T? {
+        val done =
+            withTimeoutOrNull(timeoutMillis) {
+                select { pending.forEach { call -> call.onAwait { call } } }
+            }
+        pending.remove(done)
+        return done?.await()
+    }
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/Relays.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/Relays.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.store
 
+import bergamotwall.gateway.concurrent.PendingResults
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.model.NodeId
@@ -15,10 +16,7 @@
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 
@@ -102,13 +100,12 @@
 
     /** A call that is sent to [relays] in turn until one responds. */
     private inner class HedgedRequest(
-        private val scope: CoroutineScope,
+        scope: CoroutineScope,
         private val message: PeerMessage,
         private val timeoutMillis: Long,
         private val relays: ArrayDeque<GatewayMember>,
     ) {
-        private val responses = Channel<Result<RelayedResponse, RelayFailure>>(Channel.UNLIMITED)
-        private var inFlight = 0
+        private val responses = PendingResults<Result<RelayedResponse, RelayFailure>>(scope)
 
         suspend fun awaitResponse(
             retryable: Boolean,
@@ -116,11 +113,11 @@
         ): Result<RelayedResponse, RelayFailure> {
             var last: Result<RelayedResponse, RelayFailure> = Err(RelayFailure("no other process is registered", false))
             var mayHaveArrived = false
-            while (last.isErr && (inFlight > 0 || relays.isNotEmpty())) {
-                if (inFlight == 0) requestNext()
+            while (last.isErr && (responses.count > 0 || relays.isNotEmpty())) {
+                if (responses.count == 0) requestNext()
                 val hedge = retryable && relays.isNotEmpty()
-                val response = withTimeoutOrNull(if (hedge) hedgeMillis else Long.MAX_VALUE) { responses.receive() }
-                if (response == null) requestNext() else inFlight--
+                val response = responses.next(if (hedge) hedgeMillis else Long.MAX_VALUE)
+                if (response == null) requestNext()
                 last = response ?: last
                 mayHaveArrived = mayHaveArrived || response?.fold({ false }, { it.mayHaveArrived }) ?: false
                 if (mayHaveArrived && !retryable) relays.clear()
@@ -130,8 +127,7 @@
 
         private fun requestNext() {
             val relay = relays.removeFirst()
-            inFlight++
-            scope.launch { responses.send(requestFrom(relay, message, timeoutMillis)) }
+            responses.start { requestFrom(relay, message, timeoutMillis) }
         }
     }
 
