Deliver an answer that arrives just as its request is hedged

Callers saw nothing that names it: a request on an idempotent route whose first target answered in the moment in which the request was hedged got the answer of a later target, or the deadline.

Cause: the forwarder received outcomes from a channel inside withTimeoutOrNull. The lost attempt also stayed counted as in flight, so that the request was never sent again.

Looked at and left: the other receives with a timeout either end the exchange when it fires (items, orders, peers) or wait for a signal that means the same as the timeout (registration, dispatch, adoption, evacuation).

--- a/gateway/src/main/kotlin/bergamotwall/gateway/concurrent/PendingResults.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/concurrent/PendingResults.kt
@@ -7,17 +7,20 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Results of calls that run in [scope] at the same time. A result stays available until [next] returns it: unlike an
- * element of a channel, it can't be lost if it arrives just as a receiver times out. Not thread-safe.
+ * Results of calls that run at the same time. A result stays available until [next] returns it: unlike an element of a
+ * channel, it can't be lost if it arrives just as a receiver times out. Not thread-safe.
  */
-internal class PendingResults<T : Any>(private val scope: CoroutineScope) {
+internal class PendingResults<T : Any> {
     private val pending = ArrayList<Deferred<T>>()
 
     /** Number of calls whose results [next] has not returned. */
     val count: Int get() = pending.size
 
-    /** Starts [call]. */
-    fun start(call: suspend () -> T) {
+    /** Starts [call] in [scope]. */
+    fun start(
+        scope: CoroutineScope,
+        call: suspend () -> T,
+    ) {
         pending += scope.async { call() }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.forwarding
 
 import bergamotwall.decisions.chooseTarget
+import bergamotwall.gateway.concurrent.PendingResults
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.targets.Target
@@ -11,10 +12,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelChildren
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
@@ -64,8 +63,7 @@
         private val deadlineAtMillis: Long,
     ) {
         private val tried = LinkedHashSet<TargetId>()
-        private val outcomes = Channel<AttemptOutcome>(Channel.UNLIMITED)
-        private var inFlight = 0
+        private val outcomes = PendingResults<AttemptOutcome>()
         private var lastReason = "no target"
         private var refusals = 0
         private val startedAtMillis = dependencies.clock.monotonicMillis()
@@ -73,7 +71,7 @@
         private var endedAttemptMayHaveRun = false
 
         /** Whether a target ran the request, or may be running it now. */
-        val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || inFlight > 0
+        val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
 
         suspend fun runAttempts(scope: CoroutineScope): ForwardOutcome {
             if (!launchNext(scope)) return notRun("service ${service.value} has no usable target")
@@ -110,16 +108,15 @@
         private suspend fun nextOutcome(scope: CoroutineScope): AttemptOutcome? {
             val hedge = route.retryable && tried.size < route.maxAttempts
             val waitMillis = if (hedge) route.targetLatencyMillis * limits.hedgePercent / PERCENT else Long.MAX_VALUE
-            val outcome = withTimeoutOrNull(waitMillis) { outcomes.receive() }
-            return if (outcome == null && !launchNext(scope)) outcomes.receive() else outcome
+            val outcome = outcomes.next(waitMillis)
+            return if (outcome == null && !launchNext(scope)) outcomes.next() else outcome
         }
 
         private suspend fun handleOutcome(
             outcome: AttemptOutcome,
             scope: CoroutineScope,
-        ): ForwardOutcome? {
-            inFlight--
-            return when (outcome) {
+        ): ForwardOutcome? =
+            when (outcome) {
                 is AttemptOutcome.Complete -> onComplete(outcome, scope)
                 is AttemptOutcome.StreamStarted -> {
                     val remainingMillis = deadlineAtMillis - dependencies.clock.monotonicMillis()
@@ -128,7 +125,6 @@
                 is AttemptOutcome.NotRun -> onNotRun(outcome, scope)
                 is AttemptOutcome.Broken -> onBroken(outcome, scope)
             }
-        }
 
         private fun onComplete(
             outcome: AttemptOutcome.Complete,
@@ -162,17 +158,14 @@
         }
 
         /** Launches another attempt unless one is in flight; returns false if neither is possible. */
-        private fun continueAttempts(scope: CoroutineScope): Boolean = inFlight > 0 || launchNext(scope)
+        private fun continueAttempts(scope: CoroutineScope): Boolean = outcomes.count > 0 || launchNext(scope)
 
         /** Sends the request to another target; returns false if the attempts or the targets are used up. */
         private fun launchNext(scope: CoroutineScope): Boolean {
             val target = if (tried.size < route.maxAttempts) selectTarget(service, tried) else null
             if (target == null) return false
             tried += target.id
-            inFlight++
-            scope.launch {
-                outcomes.send(runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM))
-            }
+            outcomes.start(scope) { runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM) }
             return true
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/Relays.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/Relays.kt
@@ -100,12 +100,12 @@
 
     /** A call that is sent to [relays] in turn until one responds. */
     private inner class HedgedRequest(
-        scope: CoroutineScope,
+        private val scope: CoroutineScope,
         private val message: PeerMessage,
         private val timeoutMillis: Long,
         private val relays: ArrayDeque<GatewayMember>,
     ) {
-        private val responses = PendingResults<Result<RelayedResponse, RelayFailure>>(scope)
+        private val responses = PendingResults<Result<RelayedResponse, RelayFailure>>()
 
         suspend fun awaitResponse(
             retryable: Boolean,
@@ -127,7 +127,7 @@
 
         private fun requestNext() {
             val relay = relays.removeFirst()
-            responses.start { requestFrom(relay, message, timeoutMillis) }
+            responses.start(scope) { requestFrom(relay, message, timeoutMillis) }
         }
     }
 
