--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -128,8 +128,13 @@
             var open = true
             while (open && error == null) {
                 val remainingMillis = idleTimeoutMillis - events.idleMillis
-                val part = withTimeoutOrNull(remainingMillis) { parts.receiveCatching() }
-                if (part == null) error = noEvent() else open = part.getOrNull()?.let { events.add(it) } != null
+                val received = withTimeoutOrNull(remainingMillis) { parts.receiveCatching() }
+                val data = received?.getOrNull()
+                when {
+                    received == null -> error = noEvent()
+                    data == null -> open = false
+                    else -> events.add(data)
+                }
             }
             parts.cancel()
             when {
