State what bounds the wait for a pending result

Read as a newcomer: waiting with no call in flight would never end, which the code did not say. Both callers have one; it is a checked invariant now.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/concurrent/PendingResults.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/concurrent/PendingResults.kt
@@ -24,8 +24,12 @@
         pending += scope.async { call() }
     }
 
-    /** Waits for the next result; returns null if there is none within [timeoutMillis]. */
+    /**
+     * Waits for the next result; returns null if there is none within [timeoutMillis]. At least one call must be in
+     * flight. Without [timeoutMillis], the wait is as long as the time limits of the calls.
+     */
     suspend fun next(timeoutMillis: Long = Long.MAX_VALUE): T? {
+        check(pending.isNotEmpty()) { "no call is in flight" }
         val done =
             withTimeoutOrNull(timeoutMillis) {
                 select { pending.forEach { call -> call.onAwait { call } } }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -35,7 +35,7 @@
 import strikt.assertions.isEqualTo
 import kotlin.random.Random
 
-/** An answer that arrives just as the request is hedged is delivered; it was lost and the caller kept waiting. */
+/** An answer that arrives just as the request is hedged is delivered at once. */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class ReadyAnswerIsLostTest {
     @ParameterizedTest(name = "first answer after {0} ms")
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedCallNeverEndsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedCallNeverEndsTest.kt
@@ -18,7 +18,7 @@
 import strikt.assertions.isTrue
 import kotlin.random.Random
 
-/** A relay's response that arrives just as the next relay is tried is not lost; a watch waited for it for ever. */
+/** A relayed call ends, also if a relay's response arrives just as the next relay is tried. */
 internal class RelayedCallNeverEndsTest {
     private val peers = MemoryPeers()
     private val members =
