Log content, target and incarnation of each interrupted run

Added: a line for each run whose target ended the connection before its response, with a hash of the content, the target, its incarnation and the time; the counter interrupted_runs. Forwarding is unchanged.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/Hashes.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Hashes.kt
@@ -18,6 +18,17 @@
     content: String,
 ): Fingerprint = Fingerprint(hashOf("$serves\n$content"))
 
+/** Fingerprint of a request that is forwarded as it is. [path] includes the query. */
+public fun fingerprintOf(
+    host: String,
+    method: String,
+    path: String,
+    body: ByteArray,
+): Fingerprint =
+    Fingerprint(
+        Hashing.xxh3_64().hashStream().putString(host).putString(method).putString(path).putByteArray(body).asLong
+    )
+
 /**
  * Owner of [key] among [nodes] by rendezvous hashing (Thaler and Ravishankar, 1998): the loss of a node moves only the
  * keys that it owned. Null if [nodes] is empty.
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptOutcome.kt
@@ -14,6 +14,9 @@
     /** The target did not run the request. [full]: because it has no free slot at present, or is loading weights. */
     data class NotRun(val reason: String, val full: Boolean = false) : AttemptOutcome
 
-    /** The attempt failed without a complete response; the request may have run. */
-    data class Broken(val reason: String) : AttemptOutcome
+    /**
+     * The attempt failed without a complete response; the request may have run. [disconnected]: the target ended the
+     * connection.
+     */
+    data class Broken(val reason: String, val disconnected: Boolean = false) : AttemptOutcome
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -83,7 +83,7 @@
             when (val part = exchange.next()) {
                 is ResponsePart.Body -> body.writeBytes(part.bytes)
                 is ResponsePart.End -> outcome = AttemptOutcome.Complete(head, body.toByteArray())
-                is ResponsePart.Broken -> outcome = AttemptOutcome.Broken(part.reason)
+                is ResponsePart.Broken -> outcome = AttemptOutcome.Broken(part.reason, part.disconnected)
                 is ResponsePart.Head -> outcome = AttemptOutcome.Broken("second response head")
                 null -> outcome = AttemptOutcome.Broken("response without an end")
             }
@@ -93,7 +93,11 @@
     }
 
     private fun outcomeOf(part: ResponsePart.Broken): AttemptOutcome =
-        if (part.mayHaveRun) AttemptOutcome.Broken(part.reason) else AttemptOutcome.NotRun(part.reason)
+        if (part.mayHaveRun) {
+            AttemptOutcome.Broken(part.reason, part.disconnected)
+        } else {
+            AttemptOutcome.NotRun(part.reason)
+        }
 
     private companion object {
         private const val OK = 200
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.forwarding
 
 import bergamotwall.decisions.chooseTarget
+import bergamotwall.decisions.fingerprintOf
 import bergamotwall.gateway.concurrent.PendingResults
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
@@ -165,11 +166,41 @@
             val target = if (tried.size < route.maxAttempts) selectTarget(service, tried) else null
             if (target == null) return false
             tried += target.id
-            outcomes.start(scope) { runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM) }
+            outcomes.start(scope) {
+                val sentAtMillis = dependencies.clock.monotonicMillis()
+                val outcome = runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM)
+                if (outcome is AttemptOutcome.Broken && outcome.disconnected) {
+                    val tookMillis = dependencies.clock.monotonicMillis() - sentAtMillis
+                    recordInterruption(request, route, target, tookMillis, outcome.reason)
+                }
+                outcome
+            }
             return true
         }
     }
 
+    private fun recordInterruption(
+        forwarded: CallerRequest,
+        route: Route,
+        target: Target,
+        tookMillis: Long,
+        reason: String,
+    ) {
+        dependencies.metrics.interrupted(route.name)
+        val content = fingerprintOf(route.host, forwarded.method, forwarded.path, forwarded.body)
+        dependencies.journal.record(
+            Decision(
+                subject = "request/${forwarded.id.value}",
+                decision = "interrupted",
+                rule = "the target ended the connection before its response",
+                cause = reason,
+                inputs =
+                "content ${content.hex}, target ${target.id.value}, incarnation ${target.startedAtMillis}, " +
+                    "after $tookMillis ms",
+            ),
+        )
+    }
+
     private fun selectTarget(
         service: ServiceName,
         tried: Set<TargetId>,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
@@ -56,10 +56,11 @@
     fun fail(
         reason: String,
         mayHaveRun: Boolean,
+        disconnected: Boolean = false,
     ) {
         if (ended) return
         ended = true
-        queue.trySend(ResponsePart.Broken(reason, mayHaveRun))
+        queue.trySend(ResponsePart.Broken(reason, mayHaveRun, disconnected))
         queue.close()
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponsePart.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponsePart.kt
@@ -11,6 +11,13 @@
     /** The response is complete. */
     public data object End : ResponsePart
 
-    /** The exchange failed; no more parts follow. Unless [mayHaveRun], the target can't have read the request. */
-    public data class Broken(val reason: String, val mayHaveRun: Boolean) : ResponsePart
+    /**
+     * The exchange failed; no more parts follow. Unless [mayHaveRun], the target can't have read the request.
+     * [disconnected]: the target ended the connection, as it does when it crashes.
+     */
+    public data class Broken(
+        val reason: String,
+        val mayHaveRun: Boolean,
+        val disconnected: Boolean = false,
+    ) : ResponsePart
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
 import org.tinylog.Logger
+import java.io.IOException
 
 /**
  * A connection to a target, with at most one exchange at a time. [start], [cancelExchange], [resumeReading],
@@ -91,7 +92,8 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         exchange?.fail(
             failure ?: "connection closed",
-            mayHaveRun = writeFuture?.isDone != true || writeFuture?.isSuccess == true
+            mayHaveRun = writeFuture?.isDone != true || writeFuture?.isSuccess == true,
+            disconnected = true,
         )
         exchange = null
     }
@@ -103,7 +105,7 @@
     ) {
         failure = cause.message ?: cause.javaClass.simpleName
         Logger.debug("event=target_connection_failed address={} reason=\"{}\"", channel.remoteAddress(), failure)
-        exchange?.fail(failure.orEmpty(), mayHaveRun = true)
+        exchange?.fail(failure.orEmpty(), mayHaveRun = true, disconnected = cause is IOException)
         exchange = null
         channel.close()
     }
--- a/model/src/main/kotlin/bergamotwall/model/Ids.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Ids.kt
@@ -76,7 +76,19 @@
 /** Hash of a request's content; independent of its idempotency key. */
 @Serializable
 @JvmInline
-public value class Fingerprint(public val value: Long)
+public value class Fingerprint(public val value: Long) {
+    /** The hash in hexadecimal, as written in logs and keys. */
+    public val hex: String get() = value.toULong().toString(HEX_RADIX).padStart(HEX_DIGITS, '0')
+
+    /** Conversion from text. */
+    public companion object {
+        private const val HEX_RADIX = 16
+        private const val HEX_DIGITS = 16
+
+        /** The fingerprint whose [Fingerprint.hex] is [text], or null if there is none. */
+        public fun ofHex(text: String): Fingerprint? = text.toULongOrNull(HEX_RADIX)?.let { Fingerprint(it.toLong()) }
+    }
+}
 
 /** Identity of a batch, as its trainer named it. */
 @Serializable
