Refuse requests whose content crashes the targets that run it

Cause: the path to the platform's targets forgot a crash with the request that had seen it. Each attempt of a caller came under a new id at any entry, and was sent to maxAttempts targets again, one after the other or hedged. The product's own dispatcher quarantines such content (CrashSuspicion); the gateway was never given that protection. Class: a protection that exists on one of two paths to the same targets.

Ruled out: targets that end for another reason.

Change: the content of a request is recognised by a hash. A run whose target ends the connection counts as a crash at once, and is dismissed if the same incarnation is still registered 10 s later or if the content completes. After one crash the content runs at one target at a time, after two it is refused for 10 s, after three for 10 minutes. What a process sees is written under the prefix that all processes watch, so that it costs no further watch and outlasts restarts. Why not refuse for long after two: content that merely ran beside the crashing one may be hit twice. Forwarded streams are covered, also once their head has arrived. Items of batches stay owed and are not refused.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -2,6 +2,8 @@
 
 import bergamotwall.gateway.batches.BatchDependencies
 import bergamotwall.gateway.batches.Batches
+import bergamotwall.gateway.crashes.CrashGuardDependencies
+import bergamotwall.gateway.crashes.SharedCrashGuard
 import bergamotwall.gateway.forwarding.Forwarder
 import bergamotwall.gateway.members.Evacuation
 import bergamotwall.gateway.members.EvacuationDependencies
@@ -105,18 +107,30 @@
             metrics = metrics,
         )
 
+    private val crashes: SharedCrashGuard =
+        SharedCrashGuard(
+            CrashGuardDependencies(
+                self = settings.id,
+                store = store,
+                targets = targetDependencies,
+                targetsConfirmedAtMillis = { watches.targetsConfirmedAtMillis },
+            ),
+            settings.crashes,
+        )
+
     /** Forwards callers' requests. */
-    public val forwarder: Forwarder = Forwarder(targetDependencies, settings.forward)
+    public val forwarder: Forwarder = Forwarder(targetDependencies, crashes, settings.forward)
 
     /** Accepts and runs batches. */
     public val batches: Batches =
         Batches(BatchDependencies(::self, store, drivers.peers, targetDependencies), settings.batches, scope, eventLoop)
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
-    private val watches = StoreWatches(
+    private val watches: StoreWatches = StoreWatches(
         settings,
         drivers.copy(store = store, feed = store),
         gatewayState,
-        loads
+        loads,
+        { crashes },
     ) { section -> onSectionChanged(section) }
     private val weightRollout =
         WeightRollout(
@@ -159,6 +173,7 @@
     public fun start() {
         peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> handle(message) })
         watches.start(scope)
+        crashes.start(CoroutineScope(scope.coroutineContext + eventLoop))
         registration.start(scope)
         evacuation.start(CoroutineScope(scope.coroutineContext + eventLoop))
         weightRollout.start(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.gateway.forwarding.ForwardOutcome
 import bergamotwall.runtime.MetricsRegistry
+import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 
@@ -11,8 +12,6 @@
     private val requests = metrics.counter("requests", "Requests of callers that were answered.", "route", "outcome")
     private val submissions = metrics.counter("submissions", "Submissions of batches.", "route", "outcome")
     private val attempts = metrics.counter("item_attempts", "Attempts to run an item of a batch.", "outcome")
-    private val interruptions =
-        metrics.counter("interrupted_runs", "Runs whose target ended the connection before its response.", "route")
     private val orders = metrics.counter("weight_orders", "Orders to load weights.", "outcome")
     private val requestSeconds = histogram("request_seconds", "Time from a request to its answer.", "route")
     private val loadSeconds = histogram("weight_load_seconds", "Time from an accepted order to its version.")
@@ -29,9 +28,6 @@
         requestSeconds.labelValues(route).observe(millis / MILLIS_PER_SECOND)
     }
 
-    /** Counts a run on [route] whose target ended the connection before its response. */
-    public fun interrupted(route: String): Unit = interruptions.labelValues(route).inc()
-
     /** Counts the submission of a batch on [route]. */
     public fun submitted(
         route: String,
@@ -53,6 +49,13 @@
     /** Counts a weight order sent to an engine. */
     public fun ordered(outcome: String): Unit = orders.labelValues(outcome).inc()
 
+    /** Registers the counter [name] with [labels]. */
+    public fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Counter = metrics.counter(name, help, *labels)
+
     /** Registers the gauge [name], whose value is computed by [value] at each scrape. */
     public fun gauge(
         name: String,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway
 
+import bergamotwall.decisions.CrashLimits
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
 import bergamotwall.gateway.weights.WeightSettings
@@ -38,6 +39,7 @@
     val follow: WatchSettings = WatchSettings(),
     val forward: ForwardLimits = ForwardLimits(),
     val batches: BatchSettings = BatchSettings(),
+    val crashes: CrashLimits = CrashLimits(),
     val weights: WeightSettings = WeightSettings(),
 )
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway
 
 import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.gateway.crashes.SharedCrashGuard
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.store.GatewayKeys
@@ -24,6 +25,7 @@
     private val drivers: GatewayDrivers,
     private val gatewayState: GatewayState,
     private val loads: TargetLoads,
+    private val crashes: () -> SharedCrashGuard,
     private val onChange: (WatchedSection) -> Unit,
 ) {
     private val watchSettings = settings.follow
@@ -51,6 +53,9 @@
     /** The latest proof that the configuration in force is the newest; null before the first listing. */
     val configurationConfirmation: WatchConfirmation? get() = operatorWatcher.confirmation
 
+    /** When the list of targets was last known to be current; null before the first listing. */
+    val targetsConfirmedAtMillis: Long? get() = targetWatcher.confirmation?.atMillis
+
     private val leadershipFreeSinceMillis = AtomicLong(Long.MAX_VALUE)
 
     @Volatile
@@ -133,6 +138,7 @@
         val list = entries.filterKeys { it.startsWith(GatewayKeys.MEMBERS) }.values.mapNotNull { memberOf(it) }
         val previous = gatewayState.members.read().members
         gatewayState.members.update { MemberList(list.associateBy { it.id }) }
+        crashes().onStoreChanged(entries)
         lastLeader = entries[GatewayKeys.LAST_WEIGHT_LEADER]?.value
         if (GatewayKeys.WEIGHT_LEADER in entries) {
             leadershipFreeSinceMillis.set(Long.MAX_VALUE)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -1,8 +1,8 @@
 package bergamotwall.gateway.forwarding
 
 import bergamotwall.decisions.chooseTarget
-import bergamotwall.decisions.fingerprintOf
 import bergamotwall.gateway.concurrent.PendingResults
+import bergamotwall.gateway.crashes.CrashGuard
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.targets.Target
@@ -24,9 +24,14 @@
  * - A request that must not run twice is sent to a second target only if the first states that it did not run it, or
  *   can't have received it.
  * - At most [Route.maxAttempts] targets are tried.
+ * - A request whose content crashes its targets is refused, as the [CrashGuard] decides.
  * - The caller receives the final outcome by its deadline or the route's timeout, whichever comes first.
  */
-public class Forwarder(private val dependencies: TargetDependencies, private val limits: ForwardLimits) {
+public class Forwarder(
+    private val dependencies: TargetDependencies,
+    private val crashes: CrashGuard,
+    private val limits: ForwardLimits,
+) {
     private val runner = AttemptRunner(dependencies, limits)
 
     /** Forwards [request] to a target of [route]. Cancelling the coroutine makes the targets drop the request. */
@@ -39,7 +44,8 @@
         val forwarded = ForwardedRequest(request, route, service, deadlineAtMillis)
         val remainingMillis = deadlineAtMillis - dependencies.clock.monotonicMillis()
         val outcome =
-            withTimeoutOrNull(remainingMillis) { coroutineScope { forwarded.runAttempts(this) } }
+            forwarded.guarded.refusal()
+                ?: withTimeoutOrNull(remainingMillis) { coroutineScope { forwarded.runAttempts(this) } }
                 ?: if (forwarded.mayHaveRun) ForwardOutcome.TimedOut("deadline") else forwarded.notRun("deadline")
         forwarded.record(outcome)
         return outcome
@@ -71,6 +77,8 @@
 
         private var endedAttemptMayHaveRun = false
 
+        val guarded = GuardedRequest(request, route, crashes, dependencies.clock)
+
         /** Whether a target ran the request, or may be running it now. */
         val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
 
@@ -107,7 +115,7 @@
 
         /** The next outcome, or null if the hedging delay passed first and the request was sent to another target. */
         private suspend fun nextOutcome(scope: CoroutineScope): AttemptOutcome? {
-            val hedge = route.retryable && tried.size < route.maxAttempts
+            val hedge = route.retryable && tried.size < route.maxAttempts && guarded.mayHedge
             val waitMillis = if (hedge) route.targetLatencyMillis * limits.hedgePercent / PERCENT else Long.MAX_VALUE
             val outcome = outcomes.next(waitMillis)
             return if (outcome == null && !launchNext(scope)) outcomes.next() else outcome
@@ -161,46 +169,24 @@
         /** Launches another attempt unless one is in flight; returns false if neither is possible. */
         private fun continueAttempts(scope: CoroutineScope): Boolean = outcomes.count > 0 || launchNext(scope)
 
-        /** Sends the request to another target; returns false if the attempts or the targets are used up. */
+        /**
+         * Sends the request to another target; returns false if the attempts or the targets are used up, or if its
+         * content must not run any more.
+         */
         private fun launchNext(scope: CoroutineScope): Boolean {
-            val target = if (tried.size < route.maxAttempts) selectTarget(service, tried) else null
+            val allowed = tried.size < route.maxAttempts && guarded.mayRun
+            val target = if (allowed) selectTarget(service, tried) else null
             if (target == null) return false
             tried += target.id
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
                 val outcome = runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM)
-                if (outcome is AttemptOutcome.Broken && outcome.disconnected) {
-                    val tookMillis = dependencies.clock.monotonicMillis() - sentAtMillis
-                    recordInterruption(request, route, target, tookMillis, outcome.reason)
-                }
-                outcome
+                guarded.observe(outcome, target, sentAtMillis)
             }
             return true
         }
     }
 
-    private fun recordInterruption(
-        forwarded: CallerRequest,
-        route: Route,
-        target: Target,
-        tookMillis: Long,
-        reason: String,
-    ) {
-        dependencies.metrics.interrupted(route.name)
-        val content = fingerprintOf(route.host, forwarded.method, forwarded.path, forwarded.body)
-        dependencies.journal.record(
-            Decision(
-                subject = "request/${forwarded.id.value}",
-                decision = "interrupted",
-                rule = "the target ended the connection before its response",
-                cause = reason,
-                inputs =
-                "content ${content.hex}, target ${target.id.value}, incarnation ${target.startedAtMillis}, " +
-                    "after $tookMillis ms",
-            ),
-        )
-    }
-
     private fun selectTarget(
         service: ServiceName,
         tried: Set<TargetId>,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -1,16 +1,22 @@
 package bergamotwall.gateway.store
 
+import bergamotwall.decisions.InterruptionKey
 import bergamotwall.model.BatchId
+import bergamotwall.model.Fingerprint
 import bergamotwall.model.NodeId
+import bergamotwall.model.TargetId
 
 /** Keys of the gateway in the key-value service. */
 public object GatewayKeys {
-    /** Prefix of all entries that are attached to a lease. */
+    /** Prefix that every process watches. */
     public const val LIVE: String = "bergamotwall/live/"
 
     /** Prefix of registered members. */
     public const val MEMBERS: String = "${LIVE}members/"
 
+    /** Prefix of runs that were interrupted by their target, by content and target. */
+    public const val CRASHES: String = "${LIVE}crashes/"
+
     /** Prefix of the ownership records of batches. */
     public const val BATCHES: String = "bergamotwall/batches/"
 
@@ -27,6 +33,16 @@
     /** Key of the registration of [node]. */
     public fun member(node: NodeId): String = MEMBERS + node.value
 
+    /** Key of the interruption [key]. */
+    public fun interruption(key: InterruptionKey): String = "$CRASHES${key.content.hex}/${key.target.value}"
+
+    /** The interruption whose key is [text], or null if it is not one. */
+    public fun interruptionKeyOf(text: String): InterruptionKey? {
+        val parts = text.removePrefix(CRASHES).split('/', limit = 2)
+        val content = Fingerprint.ofHex(parts[0])
+        return if (content == null || parts.size < 2) null else InterruptionKey(content, TargetId(parts[1]))
+    }
+
     /** Key of the ownership record of [batch]. */
     public fun batch(batch: BatchId): String = BATCHES + batch.value
 
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -70,7 +70,7 @@
                 dataCentre = DataCentre("x"),
                 metrics = GatewayMetrics(),
             )
-        return Forwarder(dependencies, ForwardLimits())
+        return Forwarder(dependencies, NoCrashes, ForwardLimits())
     }
 
     private class SlowTargets(private val firstMillis: Long) : TargetClient {
