--- a/gateway/src/main/kotlin/bergamotwall/gateway/crashes/CrashGuard.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/crashes/CrashGuard.kt
@@ -25,4 +25,24 @@
 
     /** Records that a run of [content] completed. */
     public fun completed(content: Lazy<Fingerprint>)
+
+    /** Instances without state. */
+    public companion object {
+        /** Suspects no content. */
+        public val NONE: CrashGuard =
+            object : CrashGuard {
+                override fun refusedForMillis(content: Lazy<Fingerprint>): Long = 0
+
+                override fun suspects(content: Lazy<Fingerprint>): Boolean = false
+
+                override fun refused(route: String) = Unit
+
+                override fun interrupted(
+                    request: InterruptedRequest,
+                    target: Target,
+                ) = Unit
+
+                override fun completed(content: Lazy<Fingerprint>) = Unit
+            }
+    }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
+import bergamotwall.gateway.crashes.CrashGuard
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetExchange
@@ -70,7 +71,7 @@
                 dataCentre = DataCentre("x"),
                 metrics = GatewayMetrics(),
             )
-        return Forwarder(dependencies, NoCrashes, ForwardLimits())
+        return Forwarder(dependencies, CrashGuard.NONE, ForwardLimits())
     }
 
     private class SlowTargets(private val firstMillis: Long) : TargetClient {
