Divide a target's request limit among the processes that send to it

Cause: nothing decoded Server-Limit. A target was sent whatever its slots take, by each process for itself. Class: a bound over all processes that no process knows, or that each would keep for itself alone.

Change: one budget for each target and process, which forwarded requests, retries, hedges and items all ask and are charged to. The part of a process is computed from members and routes, which all know. A token bucket saves up one request at least, so a low limit is divided among few entries: the sum over all stays at six times the limit and two requests in 4 s. A limit, its changes and its end are written once under the prefix that all processes watch. Requests are refused at once, with Retry-After, where all targets of a service are at their limits.

Why not shares of equal size for all: with 73 entries each would have saved up one request (45 in 4 s where 38 are allowed). Why not local knowledge only: entries without a part don't learn of the end of the limit.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/TargetChoice.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/TargetChoice.kt
@@ -8,14 +8,15 @@
  *
  * Made for short requests to a few targets of different speeds, one of which may have become slow: the expected time is
  * the target's smoothed latency, increased with its occupancy, plus the round trip to another data centre. Targets that
- * back off are used only if there is no other. [excluded] are the targets that were tried before.
+ * back off are used only if there is no other; those at their request limit are never used. [excluded] are the targets
+ * that were tried before.
  */
 public fun chooseTarget(
     candidates: List<CandidateTarget>,
     excluded: Set<TargetId>,
     random: Random,
 ): CandidateTarget? {
-    val untried = candidates.filter { it.id !in excluded }
+    val untried = candidates.filter { it.id !in excluded && it.admitted > 0 }
     val pool = untried.filter { it.available }.ifEmpty { untried }
     return pool.minByOrNull { expectedMillis(it) * (1 + random.nextDouble() * TIE_SPREAD) }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.crashes.CrashGuardDependencies
 import bergamotwall.gateway.crashes.SharedCrashGuard
 import bergamotwall.gateway.forwarding.Forwarder
+import bergamotwall.gateway.limits.LimitPublisher
 import bergamotwall.gateway.members.Evacuation
 import bergamotwall.gateway.members.EvacuationDependencies
 import bergamotwall.gateway.members.GatewayMember
@@ -15,6 +16,7 @@
 import bergamotwall.gateway.store.StoreRelay
 import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.targets.TargetDependencies
+import bergamotwall.gateway.targets.TargetLimits
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.weights.WeightRollout
 import bergamotwall.gateway.weights.WeightRolloutDependencies
@@ -105,6 +107,7 @@
             journal = journal,
             dataCentre = settings.dataCentre,
             metrics = metrics,
+            limits = TargetLimits(settings.id, gatewayState, loads, journal),
         )
 
     private val crashes: SharedCrashGuard =
@@ -118,6 +121,8 @@
             settings.crashes,
         )
 
+    private val limitPublisher = LimitPublisher(store, targetDependencies)
+
     /** Forwards callers' requests. */
     public val forwarder: Forwarder = Forwarder(targetDependencies, crashes, settings.forward)
 
@@ -130,7 +135,10 @@
         drivers.copy(store = store, feed = store),
         gatewayState,
         loads,
-        { crashes },
+        { entries ->
+            crashes.onStoreChanged(entries)
+            limitPublisher.onStoreChanged(entries)
+        },
     ) { section -> onSectionChanged(section) }
     private val weightRollout =
         WeightRollout(
@@ -158,6 +166,7 @@
 
     init {
         metrics.gauge("targets", "Registered targets.") { gatewayState.targets.read().targets.size }
+        metrics.gauge("limited_targets", "Targets that name a request limit.") { loads.limits().size }
         metrics.gauge("members", "Registered processes.") { gatewayState.members.read().members.size }
         metrics.gauge("configuration_revision", "Configuration in force.") { gatewayState.routes.read().revision.value }
         metrics.gauge("configuration_age_seconds", "Time since the configuration was last known to be the newest.") {
@@ -174,6 +183,7 @@
         peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> handle(message) })
         watches.start(scope)
         crashes.start(CoroutineScope(scope.coroutineContext + eventLoop))
+        limitPublisher.start(CoroutineScope(scope.coroutineContext + eventLoop))
         registration.start(scope)
         evacuation.start(CoroutineScope(scope.coroutineContext + eventLoop))
         weightRollout.start(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -1,7 +1,6 @@
 package bergamotwall.gateway
 
 import bergamotwall.drivers.KeyValueEntry
-import bergamotwall.gateway.crashes.SharedCrashGuard
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.store.GatewayKeys
@@ -25,7 +24,7 @@
     private val drivers: GatewayDrivers,
     private val gatewayState: GatewayState,
     private val loads: TargetLoads,
-    private val crashes: () -> SharedCrashGuard,
+    private val onLiveEntries: (Map<String, KeyValueEntry>) -> Unit,
     private val onChange: (WatchedSection) -> Unit,
 ) {
     private val watchSettings = settings.follow
@@ -138,7 +137,7 @@
         val list = entries.filterKeys { it.startsWith(GatewayKeys.MEMBERS) }.values.mapNotNull { memberOf(it) }
         val previous = gatewayState.members.read().members
         gatewayState.members.update { MemberList(list.associateBy { it.id }) }
-        crashes().onStoreChanged(entries)
+        onLiveEntries(entries)
         lastLeader = entries[GatewayKeys.LAST_WEIGHT_LEADER]?.value
         if (GatewayKeys.WEIGHT_LEADER in entries) {
             leadershipFreeSinceMillis.set(Long.MAX_VALUE)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -4,6 +4,7 @@
 import bergamotwall.decisions.WaitingItem
 import bergamotwall.decisions.assignItems
 import bergamotwall.decisions.backoffMillis
+import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.TargetId
@@ -63,7 +64,7 @@
         items.forEach { it.batch.placement.usableTargets = usable.size }
         assignItems(
             waiting,
-            dependencies.candidates(usable.values)
+            dependencies.candidates(usable.values, SendPurpose.ITEM)
         ).forEach { assignment -> launch(items[assignment.ticket], assignment, usable) }
     }
 
@@ -77,6 +78,7 @@
         val waitedMillis = nowMillis - maxOf(dispatched.batch.acceptedAtMillis, dispatched.item.notBeforeMillis)
         dispatched.batch.placement.sentAfter(waitedMillis)
         dependencies.metrics.itemWaited(dispatched.batch.route.name, waitedMillis)
+        dependencies.limits.charge(target, SendPurpose.ITEM, nowMillis)
         dispatched.item.sentAtMillis = nowMillis
         dispatched.item.running = true
         dispatched.item.attempts++
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -81,8 +81,7 @@
         exchange: TargetExchange,
     ): ItemOutcome {
         val metadata = dependencies.protocol.read(head)
-        metadata.load?.let { dependencies.loads.of(target.id).reported(it, dependencies.clock.monotonicMillis()) }
-        if (metadata.signed && !metadata.notRun) dependencies.loads.of(target.id).responding()
+        dependencies.responded(target, metadata, item.sentAtMillis)
         val version = metadata.version?.let { WeightVersion(it) }
         return when {
             metadata.notRun -> ItemOutcome.NotRun("status ${head.status}", metadata.full)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -31,7 +31,7 @@
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
         try {
-            val outcome = receive(exchange, target, stream)
+            val outcome = receive(exchange, target, stream, sentAtMillis)
             when (outcome) {
                 is AttemptOutcome.Complete -> load.succeeded(dependencies.clock.monotonicMillis() - sentAtMillis)
                 is AttemptOutcome.StreamStarted -> streaming = true
@@ -49,9 +49,10 @@
         exchange: TargetExchange,
         target: Target,
         stream: Boolean,
+        sentAtMillis: Long,
     ): AttemptOutcome =
         when (val first = exchange.next()) {
-            is ResponsePart.Head -> handleHead(exchange, target, stream, first)
+            is ResponsePart.Head -> handleHead(exchange, target, stream, first, sentAtMillis)
             is ResponsePart.Broken -> outcomeOf(first)
             is ResponsePart.Body, ResponsePart.End, null -> AttemptOutcome.Broken("response without a head")
         }
@@ -61,10 +62,10 @@
         target: Target,
         stream: Boolean,
         head: ResponsePart.Head,
+        sentAtMillis: Long,
     ): AttemptOutcome {
         val metadata = dependencies.protocol.read(head)
-        metadata.load?.let { dependencies.loads.of(target.id).reported(it, dependencies.clock.monotonicMillis()) }
-        if (metadata.signed && !metadata.notRun) dependencies.loads.of(target.id).responding()
+        dependencies.responded(target, metadata, sentAtMillis)
         return when {
             metadata.notRun -> AttemptOutcome.NotRun("status ${head.status}", metadata.full)
             !metadata.signed -> AttemptOutcome.Broken("unsigned response with status ${head.status}")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
@@ -15,4 +15,6 @@
     val refusedPauseMillis: Long = 5,
     /** Retry-After for callers: full targets accept requests again after about the duration of one request. */
     val retryAfterMillis: Long = 250,
+    /** Longest Retry-After where targets are at their request limits: other entries have parts of these limits too. */
+    val maxLimitRetryAfterMillis: Long = 1_000,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.crashes.CrashGuard
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.ServiceName
@@ -83,7 +84,7 @@
         val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
 
         suspend fun runAttempts(scope: CoroutineScope): ForwardOutcome {
-            if (!launchNext(scope)) return notRun("service ${service.value} has no usable target")
+            if (!launchNext(scope)) return noTarget(service)
             while (true) {
                 val outcome = nextOutcome(scope) ?: continue
                 val forwardOutcome = handleOutcome(outcome, scope)
@@ -178,6 +179,7 @@
             val target = if (allowed) selectTarget(service, tried) else null
             if (target == null) return false
             tried += target.id
+            dependencies.limits.charge(target, SendPurpose.REQUEST, dependencies.clock.monotonicMillis())
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
                 val outcome = runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM)
@@ -187,12 +189,29 @@
         }
     }
 
+    /** The outcome of a request for which no target of [service] may be used now. */
+    private fun noTarget(service: ServiceName): ForwardOutcome {
+        val waitMillis = dependencies.limits.waitMillis(
+            dependencies.gatewayState.targets.read().usable(service),
+            dependencies.clock.monotonicMillis(),
+        )
+        return if (waitMillis == 0L) {
+            ForwardOutcome.NotRun("service ${service.value} has no usable target", limits.retryAfterMillis)
+        } else {
+            val retryAfterMillis = minOf(waitMillis, limits.maxLimitRetryAfterMillis)
+            ForwardOutcome.NotRun(
+                "the targets of service ${service.value} are at their request limits",
+                retryAfterMillis
+            )
+        }
+    }
+
     private fun selectTarget(
         service: ServiceName,
         tried: Set<TargetId>,
     ): Target? {
         val usable = dependencies.gatewayState.targets.read().usable(service)
-        val chosen = chooseTarget(dependencies.candidates(usable), tried, dependencies.random)
+        val chosen = chooseTarget(dependencies.candidates(usable, SendPurpose.REQUEST), tried, dependencies.random)
         return usable.firstOrNull { it.id == chosen?.id }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -17,6 +17,9 @@
     /** Prefix of runs that were interrupted by their target, by content and target. */
     public const val CRASHES: String = "${LIVE}crashes/"
 
+    /** Prefix of the request limits of targets. */
+    public const val LIMITS: String = "${LIVE}limits/"
+
     /** Prefix of the ownership records of batches. */
     public const val BATCHES: String = "bergamotwall/batches/"
 
@@ -33,6 +36,9 @@
     /** Key of the registration of [node]. */
     public fun member(node: NodeId): String = MEMBERS + node.value
 
+    /** Key of the request limit of [target]. */
+    public fun limit(target: TargetId): String = LIMITS + target.value
+
     /** Key of the interruption [key]. */
     public fun interruption(key: InterruptionKey): String = "$CRASHES${key.content.hex}/${key.target.value}"
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -20,10 +20,31 @@
     public val journal: Journal,
     public val dataCentre: DataCentre,
     public val metrics: GatewayMetrics,
+    public val limits: TargetLimits,
 ) {
-    /** Input for the placement policy: the current state of [targets]. */
-    internal fun candidates(targets: Collection<Target>): List<CandidateTarget> {
+    /** Input for the placement policy: the current state of [targets] for requests of [purpose]. */
+    internal fun candidates(
+        targets: Collection<Target>,
+        purpose: SendPurpose,
+    ): List<CandidateTarget> {
         val nowMillis = clock.monotonicMillis()
-        return targets.map { loads.of(it.id).candidate(it, it.dataCentre == dataCentre, nowMillis) }
+        return targets.map { target ->
+            val admitted = limits.admitted(target, purpose, nowMillis)
+            loads.of(target.id).candidate(target, target.dataCentre == dataCentre, nowMillis).copy(admitted = admitted)
+        }
+    }
+
+    /** Records what the head of [target]'s response to a request sent at [sentAtMillis] tells of the target. */
+    internal fun responded(
+        target: Target,
+        metadata: ResponseMetadata,
+        sentAtMillis: Long,
+    ) {
+        val load = loads.of(target.id)
+        val nowMillis = clock.monotonicMillis()
+        metadata.load?.let { load.reported(it, nowMillis) }
+        if (metadata.signed && !metadata.notRun) load.responding()
+        // Other responses may come from a process that has taken over the address.
+        if (metadata.signed || metadata.full) limits.reported(target, metadata.limitPerSecond, sentAtMillis, nowMillis)
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -15,6 +15,9 @@
     private val latencyMillis = AtomicLong()
     private val probing = AtomicBoolean()
 
+    /** The target's limit on requests of all processes. */
+    public val limit: TargetLimit = TargetLimit()
+
     /** Requests of this process in flight at the target. */
     public val ownRequests: Int get() = outstanding.get()
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -39,7 +39,8 @@
 /**
  * Metadata in the head of a response. [notRun]: the target did not run the request. [signed]: the response is signed
  * by a target. [version]: for engines, the version of the weights that generate the text. [full]: the target has no
- * free slot at present, or is loading weights.
+ * free slot at present, or is loading weights. [limitPerSecond]: the number of requests a second that the target takes
+ * from all processes together; null if it names none.
  */
 public data class ResponseMetadata(
     val notRun: Boolean,
@@ -47,4 +48,5 @@
     val load: ReportedLoad?,
     val version: Long?,
     val full: Boolean = false,
+    val limitPerSecond: Double? = null,
 )
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -23,6 +23,7 @@
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
 import bergamotwall.gateway.targets.TargetDependencies
+import bergamotwall.gateway.targets.TargetLimits
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.targets.TargetProtocol
 import bergamotwall.model.BatchId
@@ -146,6 +147,7 @@
     fun batches(scope: TestScope): Batches {
         gatewayState.routes.update { RouteTable(ConfigurationRevision(1), listOf(route)) }
         gatewayState.members.update { MemberList(mapOf(self.id to self)) }
+        val loads = TargetLoads()
         val dependencies =
             BatchDependencies(
                 self = { self },
@@ -156,12 +158,13 @@
                     gatewayState = gatewayState,
                     client = client,
                     protocol = UnusedProtocol,
-                    loads = TargetLoads(),
+                    loads = loads,
                     clock = clock,
                     random = Random(1),
                     journal = journal,
                     dataCentre = self.dataCentre,
                     metrics = GatewayMetrics(),
+                    limits = TargetLimits(self.id, gatewayState, loads, journal),
                 ),
             )
         return Batches(dependencies, BatchSettings(), scope.backgroundScope, dispatcher)
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -14,6 +14,7 @@
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
 import bergamotwall.gateway.targets.TargetDependencies
+import bergamotwall.gateway.targets.TargetLimits
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.targets.TargetProtocol
@@ -59,17 +60,20 @@
         val targets = (1..3).map { Target(TargetId("t$it"), service, "t$it:1", DataCentre("x"), 8, draining = false) }
         val state = GatewayState()
         state.targets.update { TargetList(targets.associateBy { it.id }) }
+        val loads = TargetLoads()
+        val journal = Journal(NodeId("n"), clock)
         val dependencies =
             TargetDependencies(
                 gatewayState = state,
                 client = SlowTargets(firstMillis),
                 protocol = PlainProtocol,
-                loads = TargetLoads(),
+                loads = loads,
                 clock = clock,
                 random = Random(1),
-                journal = Journal(NodeId("n"), clock),
+                journal = journal,
                 dataCentre = DataCentre("x"),
                 metrics = GatewayMetrics(),
+                limits = TargetLimits(NodeId("n"), state, loads, journal),
             )
         return Forwarder(dependencies, CrashGuard.NONE, ForwardLimits())
     }
