End a shared request limit only when its target has said so

Found by reading: a process deleted a shared limit that it did not hold itself. That is also so while it has read no targets yet after its start, and after a target was gone from the registrations for a moment; all processes then sent to the target as if it had no limit, until it named it again.

Change: a process ends a limit only after a response of the target without one. Limits that were shared before their target was registered here are applied once it is, and the limit of a target that stays gone is deleted after 10 s.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/limits/LimitPublisher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/limits/LimitPublisher.kt
@@ -28,6 +28,7 @@
 ) {
     /** Limits in the key-value service, in requests a second. */
     private val shared = ConcurrentHashMap<TargetId, Double>()
+    private val missingSinceMillis = HashMap<TargetId, Long>()
 
     /** Applies the limits among the [entries] that all processes watch. */
     public fun onStoreChanged(entries: Map<String, KeyValueEntry>) {
@@ -54,16 +55,18 @@
 
     /** Writes the limits that differ from those in the key-value service, and deletes those that ended. */
     public suspend fun publish() {
-        val known = dependencies.gatewayState.targets.read().targets
-        val limits = dependencies.loads.limits().filterKeys { it in known }
+        val known = dependencies.gatewayState.targets.read().targets.keys
+        applyShared(known)
         val puts =
-            limits
-                .filter { (id, perSecond) -> differs(shared[id], perSecond) }
+            dependencies.loads
+                .limits()
+                .filter { (id, perSecond) -> id in known && differs(shared[id], perSecond) }
                 .map { (id, perSecond) ->
                     val text = Jsons.wire.encodeToString(SharedLimit.serializer(), SharedLimit(perSecond))
                     Write.Put(GatewayKeys.limit(id), text)
                 }
-        val deletes = shared.keys.filter { it !in limits }.map { Write.Delete(GatewayKeys.limit(it)) }
+        val ended = shared.keys.filter { it in known && dependencies.loads.of(it).limit.ended }
+        val deletes = (ended + orphaned(known)).map { Write.Delete(GatewayKeys.limit(it)) }
         if (puts.isEmpty() && deletes.isEmpty()) return
         // Repeated after an unknown outcome: both kinds of writes are idempotent.
         store.commit(Transaction(emptyList(), (puts + deletes).take(MAX_WRITES))).fold(
@@ -72,6 +75,24 @@
         )
     }
 
+    /** Applies shared limits to targets that were registered only after these were read. */
+    private fun applyShared(known: Set<TargetId>) {
+        val nowMillis = dependencies.clock.monotonicMillis()
+        shared.filterKeys { it in known }.forEach { (id, perSecond) ->
+            val limit = dependencies.loads.of(id).limit
+            if (limit.perSecond == null && !limit.ended) dependencies.limits.shared(id, perSecond, nowMillis)
+        }
+    }
+
+    /** Targets with a shared limit that have not been registered for some time. */
+    private fun orphaned(known: Set<TargetId>): List<TargetId> {
+        val nowMillis = dependencies.clock.monotonicMillis()
+        val missing = shared.keys - known
+        missingSinceMillis.keys.retainAll(missing)
+        missing.forEach { missingSinceMillis.putIfAbsent(it, nowMillis) }
+        return missing.filter { nowMillis - missingSinceMillis.getValue(it) >= ORPHANED_MILLIS }
+    }
+
     private fun differs(
         published: Double?,
         perSecond: Double,
@@ -87,6 +108,9 @@
         /** Maximum number of writes in a transaction of the platform's store. */
         private const val MAX_WRITES = 32
 
+        /** Longer than a process takes to learn that a target has registered. */
+        private const val ORPHANED_MILLIS = 10_000L
+
         /** Relative difference that is not worth a write. */
         private const val TOLERANCE = 0.1
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimit.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimit.kt
@@ -8,10 +8,15 @@
  * The limit that a target names on the requests that it takes from all processes, and its use by this one. Thread-safe.
  */
 public class TargetLimit {
-    private val limit = AtomicReference<RequestLimit?>()
+    private class State(val limit: RequestLimit?, val ended: Boolean = false)
+
+    private val state = AtomicReference(State(null))
 
     /** Requests a second that the target takes, or null if it names no limit. */
-    public val perSecond: Double? get() = limit.get()?.perSecond
+    public val perSecond: Double? get() = state.get().limit?.perSecond
+
+    /** Whether this process was told by the target that its limit has ended, and other processes may not know yet. */
+    public val ended: Boolean get() = state.get().ended
 
     /**
      * Records that the response to a request sent at [sentAtMillis], received at [nowMillis], names a limit of
@@ -22,11 +27,11 @@
         sentAtMillis: Long,
         nowMillis: Long,
     ) {
-        limit.updateAndGet { old ->
+        state.updateAndGet { old ->
             when {
-                newPerSecond != null -> old?.named(newPerSecond, nowMillis) ?: RequestLimit(newPerSecond, nowMillis)
-                old != null && sentAtMillis < old.namedAtMillis -> old
-                else -> null
+                newPerSecond != null -> State(named(old, newPerSecond, nowMillis))
+                old.limit == null || sentAtMillis < old.limit.namedAtMillis -> old
+                else -> State(null, ended = true)
             }
         }
     }
@@ -36,28 +41,32 @@
         newPerSecond: Double?,
         nowMillis: Long,
     ) {
-        limit.updateAndGet { old ->
-            newPerSecond?.let { old?.named(it, nowMillis) ?: RequestLimit(it, nowMillis) }
-        }
+        state.updateAndGet { old -> State(newPerSecond?.let { named(old, it, nowMillis) }) }
     }
 
     /** Number of requests that may be sent at [nowMillis] by a process with [share] of the limit. */
     public fun admitted(
         share: RateShare,
         nowMillis: Long,
-    ): Int = limit.get()?.admitted(share, nowMillis) ?: Int.MAX_VALUE
+    ): Int = state.get().limit?.admitted(share, nowMillis) ?: Int.MAX_VALUE
 
     /** Time from [nowMillis] until a process with [share] of the limit may send a request. */
     public fun waitMillis(
         share: RateShare,
         nowMillis: Long,
-    ): Long = limit.get()?.waitMillis(share, nowMillis) ?: 0
+    ): Long = state.get().limit?.waitMillis(share, nowMillis) ?: 0
 
     /** Records a request that a process with [share] of the limit sends at [nowMillis]. */
     public fun sent(
         share: RateShare,
         nowMillis: Long,
     ) {
-        limit.updateAndGet { it?.sent(share, nowMillis) }
+        state.updateAndGet { old -> State(old.limit?.sent(share, nowMillis), old.ended) }
     }
+
+    private fun named(
+        old: State,
+        perSecond: Double,
+        nowMillis: Long,
+    ): RequestLimit = old.limit?.named(perSecond, nowMillis) ?: RequestLimit(perSecond, nowMillis)
 }
