--- a/gateway/src/main/kotlin/bergamotwall/gateway/crashes/SharedCrashGuard.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/crashes/SharedCrashGuard.kt
@@ -122,13 +122,8 @@
     fun start(scope: CoroutineScope): Job =
         scope.launch {
             while (true) {
-                if (quarantine.read().table.entries.isEmpty()) {
-                    wake.receive()
-                } else {
-                    withTimeoutOrNull(
-                        PERIOD_MILLIS
-                    ) { wake.receive() }
-                }
+                val idle = quarantine.read().table.entries.isEmpty()
+                if (idle) wake.receive() else withTimeoutOrNull(PERIOD_MILLIS) { wake.receive() }
                 step()
             }
         }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
@@ -73,7 +73,7 @@
         }
 
     @Test
-    fun `the limit of a target that is gone is deleted in the end`() =
+    fun `the limit of a target that stays unregistered is deleted`() =
         runTest {
             first.responded(2.0)
             share()
