--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -166,6 +166,9 @@
 
     init {
         metrics.gauge("targets", "Registered targets.") { gatewayState.targets.read().targets.size }
+        metrics.gauge("mixed_services", "Services whose registered targets run several software versions.") {
+            gatewayState.targets.read().mixedServices
+        }
         metrics.gauge("limited_targets", "Targets that name a request limit.") { loads.limits().size }
         metrics.gauge("members", "Registered processes.") { gatewayState.members.read().members.size }
         metrics.gauge("configuration_revision", "Configuration in force.") { gatewayState.routes.read().revision.value }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -118,9 +118,10 @@
         val previous = gatewayState.targets.read().targets
         (list.keys - previous.keys).forEach {
             Logger.info(
-                "event=target_found id={} address={}",
+                "event=target_found id={} address={} software={}",
                 it.value,
-                list[it]?.address
+                list[it]?.address,
+                list[it]?.softwareVersion?.value
             )
         }
         (previous.keys - list.keys).forEach { Logger.info("event=target_gone id={}", it.value) }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -80,6 +80,7 @@
         dependencies.metrics.itemWaited(dispatched.batch.route.name, waitedMillis)
         dependencies.limits.charge(target, SendPurpose.ITEM, nowMillis)
         dispatched.item.sentAtMillis = nowMillis
+        dispatched.item.resumedAfter = dispatched.item.lastEventId
         dispatched.item.running = true
         dispatched.item.attempts++
         dispatched.batch.groupTargets[dispatched.item.spec.group] = target.id
@@ -156,7 +157,8 @@
                 rule = "one attempt at one target",
                 cause = "batch ${dispatched.batch.record.id.value}",
                 inputs =
-                "target ${target.id.value}, events received ${item.eventCount}, versions ${item.versions()}, " +
+                "target ${target.id.value}, software ${target.softwareVersion?.value}, resumed after " +
+                    "${item.resumedAfter}, events received ${item.eventCount}, versions ${item.versions()}, " +
                     "took ${dependencies.clock.monotonicMillis() - item.sentAtMillis} ms",
             ),
         )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -26,6 +26,9 @@
 
     /** When the item was sent last, on the monotonic clock. */
     var sentAtMillis = 0L
+
+    /** Id of the last event received before the item was sent last. */
+    var resumedAfter: Long? = null
     var lastFailedTarget: TargetId? = null
     var exchange: TargetExchange? = null
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -9,6 +9,7 @@
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.ServiceName
+import bergamotwall.model.SoftwareVersion
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.Decision
 import kotlinx.coroutines.CoroutineScope
@@ -70,7 +71,7 @@
         private val service: ServiceName,
         private val deadlineAtMillis: Long,
     ) {
-        private val tried = LinkedHashSet<TargetId>()
+        private val tried = LinkedHashMap<TargetId, SoftwareVersion?>()
         private val outcomes = PendingResults<AttemptOutcome>()
         private var lastReason = "no target"
         private var refusals = 0
@@ -108,7 +109,7 @@
                     cause = lastReason,
                     inputs =
                     "configuration ${dependencies.gatewayState.routes.read().revision.value}, " +
-                        "service ${service.value}, targets ${tried.joinToString(",") { it.value }}, " +
+                        "service ${service.value}, targets ${describe(tried)}, " +
                         "took $tookMillis ms",
                 ),
             )
@@ -176,9 +177,9 @@
          */
         private fun launchNext(scope: CoroutineScope): Boolean {
             val allowed = tried.size < route.maxAttempts && guarded.mayRun
-            val target = if (allowed) selectTarget(service, tried) else null
+            val target = if (allowed) selectTarget(service, tried.keys) else null
             if (target == null) return false
-            tried += target.id
+            tried[target.id] = target.softwareVersion
             dependencies.limits.charge(target, SendPurpose.REQUEST, dependencies.clock.monotonicMillis())
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
@@ -224,6 +225,9 @@
     }
 }
 
+private fun describe(targets: Map<TargetId, SoftwareVersion?>): String =
+    targets.entries.joinToString(",") { (id, software) -> "${id.value} (software ${software?.value})" }
+
 private fun describe(outcome: ForwardOutcome): String =
     when (outcome) {
         is ForwardOutcome.Completed -> "answered ${outcome.head.status}"
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/Target.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/Target.kt
@@ -3,12 +3,13 @@
 import bergamotwall.model.DataCentre
 import bergamotwall.model.ModelName
 import bergamotwall.model.ServiceName
+import bergamotwall.model.SoftwareVersion
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
 
 /**
  * A target as registered by itself. [startedAtMillis] is its start time, which distinguishes its incarnations; null if
- * not reported.
+ * not reported. [softwareVersion] is null if not reported.
  */
 public data class Target(
     val id: TargetId,
@@ -19,4 +20,5 @@
     val draining: Boolean,
     val versions: Map<ModelName, WeightVersion> = emptyMap(),
     val startedAtMillis: Long? = null,
+    val softwareVersion: SoftwareVersion? = null,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
@@ -7,6 +7,10 @@
 public class TargetList(public val targets: Map<TargetId, Target> = emptyMap()) {
     private val byService = targets.values.groupBy { it.service }
 
+    /** Number of services whose targets run several software versions. */
+    public val mixedServices: Int =
+        byService.values.count { targets -> targets.distinctBy { it.softwareVersion }.size > 1 }
+
     /** Targets of [service] that are not draining. */
     public fun usable(service: ServiceName): List<Target> = byService[service].orEmpty().filterNot { it.draining }
 }
--- a/model/src/main/kotlin/bergamotwall/model/Ids.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Ids.kt
@@ -52,6 +52,11 @@
 @JvmInline
 public value class PlanId(public val value: String)
 
+/** Version of a target's software, as the target names it; versions have no order. */
+@Serializable
+@JvmInline
+public value class SoftwareVersion(public val value: String)
+
 /** Version of a model's weights; higher is newer. */
 @Serializable
 @JvmInline
