Continue a text only at the software version that began it

Cause: the version of a target's software was dropped at the adapter, so that the placement of a resumed item knew weight versions only. The class: a compatibility that no type carries. Ruled out: a restart of a target under its id; the two runs of each such text went to different ids.

An item now holds the software version of its text. Only targets of that version are eligible for its next run. If none is registered, or none has been available for a second, the text is discarded and generated again; a line says so.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
@@ -1,12 +1,17 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetProtocol
 import bergamotwall.model.WeightVersion
 
-/** Appends the events that one run of [item] streams to its text, each with the weight version that generated it. */
+/**
+ * Appends the events that one run of [item] at [target] streams to its text, each with the weight version that generated
+ * it.
+ */
 internal class ItemCollector(
     private val batch: OwnedBatch,
     private val item: ItemState,
+    private val target: Target,
     private val protocol: TargetProtocol,
     private var version: WeightVersion,
 ) {
@@ -23,7 +28,7 @@
         version = protocol.eventVersion(event.fields)?.let { WeightVersion(it) } ?: version
         return when {
             !batch.allowsVersion(item, version) -> ItemOutcome.Unfit(version)
-            !item.append(event, version) -> ItemOutcome.Broken("event ${event.id} out of order")
+            !item.append(event, version, target.softwareVersion) -> ItemOutcome.Broken("event ${event.id} out of order")
             else -> null
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.Logger
 
 /**
  * Sends the items of all owned batches to targets as slots become free. [onItemDone] is called with the batch of each
@@ -59,13 +60,13 @@
         val targets = dependencies.gatewayState.targets.read()
         val services = items.flatMap { it.batch.route.shares }.map { it.service }.distinct()
         val usable = services.flatMap { targets.usable(it) }.associateBy { it.id }
+        val candidates = dependencies.candidates(usable.values, SendPurpose.ITEM)
+        val available = candidates.filter { it.available }.mapNotNull { usable[it.id] }
+        items.forEach { it.startOverUnlessContinuable(usable.values, available, nowMillis) }
         val waiting = items.mapIndexed { ticket, item -> item.waitingItem(ticket, usable.values) }
         waiting.forEach { items[it.ticket].batch.placement.eligibleTargets = it.eligible.size }
         items.forEach { it.batch.placement.usableTargets = usable.size }
-        assignItems(
-            waiting,
-            dependencies.candidates(usable.values, SendPurpose.ITEM)
-        ).forEach { assignment -> launch(items[assignment.ticket], assignment, usable) }
+        assignItems(waiting, candidates).forEach { assignment -> launch(items[assignment.ticket], assignment, usable) }
     }
 
     private fun launch(
@@ -87,6 +88,7 @@
         scope.launch {
             val outcome = runner.run(dispatched.batch, dispatched.item, target)
             dispatched.item.running = false
+            dispatched.item.endedAtMillis = dependencies.clock.monotonicMillis()
             handleOutcome(dispatched, target, outcome)
             wake()
         }
@@ -182,7 +184,30 @@
             )
         }
 
-        private fun allows(target: Target): Boolean {
+        /**
+         * Discards the text received if none of the [usable] targets may continue it, or none of the [available] ones
+         * has for [CONTINUE_WAIT_MILLIS], but one of these may start it.
+         */
+        fun startOverUnlessContinuable(
+            usable: Collection<Target>,
+            available: Collection<Target>,
+            nowMillis: Long,
+        ) {
+            if (!item.hasText || available.any { allows(it) } || available.none { allowsWeights(it) }) return
+            val waitUntilMillis = item.endedAtMillis + CONTINUE_WAIT_MILLIS
+            if (nowMillis < waitUntilMillis && usable.any { allows(it) }) return
+            Logger.info(
+                "event=item_starts_over id={} events={} software={} cause=\"no target of its software version\"",
+                item.spec.id.value,
+                item.eventCount,
+                item.softwareVersion?.value,
+            )
+            item.discardText()
+        }
+
+        private fun allows(target: Target): Boolean = item.continuesAt(target) && allowsWeights(target)
+
+        private fun allowsWeights(target: Target): Boolean {
             val model = batch.record.model
             val versionAllowed = model == null || target.versions[model]?.let { it >= batch.record.minVersion } == true
             return versionAllowed && batch.route.shares.any { it.service == target.service }
@@ -193,6 +218,9 @@
         /** Longest delay until a change that triggers no dispatch is noticed, such as the end of a target's backoff. */
         private const val RECHECK_PERIOD_MILLIS = 250L
 
+        /** Longest wait for a target that is backing off, after which generating the text again is faster. */
+        private const val CONTINUE_WAIT_MILLIS = 1_000L
+
         /**
          * Short, so that an item that a full target refused soon goes to another one. If all targets are full, the item
          * waits until one of them may be probed.
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -89,17 +89,15 @@
             head.status >= FIRST_SERVER_ERROR && metadata.signed -> ItemOutcome.ErrorAnswer
             head.status != OK || !metadata.signed || version == null -> ItemOutcome.Broken("status ${head.status}")
             !batch.allowsVersion(item, version) -> ItemOutcome.Unfit(version)
-            else -> collect(batch, item, version, exchange)
+            else -> collect(item, ItemCollector(batch, item, target, dependencies.protocol, version), exchange)
         }
     }
 
     private suspend fun collect(
-        batch: OwnedBatch,
         item: ItemState,
-        firstVersion: WeightVersion,
+        collector: ItemCollector,
         exchange: TargetExchange,
     ): ItemOutcome {
-        val collector = ItemCollector(batch, item, dependencies.protocol, firstVersion)
         var lastEventAtMillis = dependencies.clock.monotonicMillis()
         var outcome: ItemOutcome? = null
         while (outcome == null) {
