Resume streams at the software version that began them

Cause: the adapter dropped the caller's Last-Event-Id, and nothing knew where a stream had begun. The class is that of the texts of items, a compatibility that no type carries, and here the knowledge must also outlast the process.

Why it works: a service's software versions are on record in the key-value service before a stream begins at one of them. While one version serves, and did so for two minutes, the record alone tells the origin of every stream, and nothing is written for a request. Otherwise each process writes the origins of the streams that it began, up to 32 in a call, paced by the size of the fleet. A resumed stream goes to the service and version of its origin; one of unknown origin is refused with 503 after a second look.

Ruled out: a version chosen by a hash of the request's id (breaks when the set of versions changes between the two requests); the memory of peers (lost when all are killed); a record of each stream at all times (calls for nothing).

An entry is ready only once streams may begin. In the test, the first stream is sent until it is accepted, because an entry that has just learned of a service refuses it until the version is on record.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -15,6 +15,8 @@
 import bergamotwall.gateway.store.RelayedStore
 import bergamotwall.gateway.store.StoreRelay
 import bergamotwall.gateway.store.WatchConfirmation
+import bergamotwall.gateway.streams.SharedStreamOrigins
+import bergamotwall.gateway.streams.StreamOriginDependencies
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLimits
 import bergamotwall.gateway.targets.TargetLoads
@@ -83,11 +85,12 @@
     private var shuttingDown = false
 
     /**
-     * Whether the process accepts work: routes and targets are known, and it is neither shutting down nor evacuated.
+     * Whether the process accepts work: routes and targets are known, streams may begin, and it is neither shutting
+     * down nor evacuated.
      */
     public val ready: Boolean
         get() = !shuttingDown && settings.id !in gatewayState.evacuations.read() && gatewayState.routes.read().known &&
-            watches.targetsLoaded
+            watches.targetsLoaded && streamOrigins.loaded
 
     /** The latest proof that the configuration in force is the newest; null before the first one. */
     public val configurationConfirmation: WatchConfirmation? get() = watches.configurationConfirmation
@@ -123,8 +126,14 @@
 
     private val limitPublisher = LimitPublisher(store, targetDependencies)
 
+    private val streamOrigins =
+        SharedStreamOrigins(
+            StreamOriginDependencies(store, gatewayState, drivers.clock, random, metrics),
+            settings.streams,
+        )
+
     /** Forwards callers' requests. */
-    public val forwarder: Forwarder = Forwarder(targetDependencies, crashes, settings.forward)
+    public val forwarder: Forwarder = Forwarder(targetDependencies, crashes, settings.forward, streamOrigins)
 
     /** Accepts and runs batches. */
     public val batches: Batches =
@@ -138,6 +147,9 @@
         { entries ->
             crashes.onStoreChanged(entries)
             limitPublisher.onStoreChanged(entries)
+            val wasReady = ready
+            streamOrigins.onStoreChanged(entries)
+            if (ready != wasReady) registration.changed()
         },
     ) { section -> onSectionChanged(section) }
     private val weightRollout =
@@ -187,6 +199,7 @@
         watches.start(scope)
         crashes.start(CoroutineScope(scope.coroutineContext + eventLoop))
         limitPublisher.start(CoroutineScope(scope.coroutineContext + eventLoop))
+        streamOrigins.start(CoroutineScope(scope.coroutineContext + eventLoop))
         registration.start(scope)
         evacuation.start(CoroutineScope(scope.coroutineContext + eventLoop))
         weightRollout.start(
@@ -201,6 +214,7 @@
         Logger.info("event=leaving id={}", settings.id.value)
         weightRollout.release()
         batches.release()
+        streamOrigins.publish()
         registration.end()
     }
 
@@ -246,6 +260,7 @@
 
     private fun onSectionChanged(section: WatchedSection) {
         registration.changed()
+        streamOrigins.changed()
         scope.launch {
             when (section) {
                 WatchedSection.ROUTES -> batches.routesChanged()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -3,6 +3,7 @@
 import bergamotwall.decisions.CrashLimits
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
+import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.weights.WeightSettings
 import bergamotwall.model.DataCentre
 import bergamotwall.model.DocumentProblem
@@ -40,6 +41,7 @@
     val forward: ForwardLimits = ForwardLimits(),
     val batches: BatchSettings = BatchSettings(),
     val crashes: CrashLimits = CrashLimits(),
+    val streams: StreamSettings = StreamSettings(),
     val weights: WeightSettings = WeightSettings(),
 )
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
@@ -5,8 +5,8 @@
 import bergamotwall.model.WeightVersion
 
 /**
- * Appends the events that one run of [item] at [target] streams to its text, each with the weight version that generated
- * it.
+ * Appends the events that one run of [item] at [target] streams to its text, each with the weight version that
+ * generated it.
  */
 internal class ItemCollector(
     private val batch: OwnedBatch,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -27,7 +27,15 @@
         load.sent(sentAtMillis)
         val remainingMillis = (deadlineAtMillis - sentAtMillis).coerceAtLeast(1)
         val call =
-            TargetCall(request.id.value, request.method, request.path, request.headers, request.body, remainingMillis)
+            TargetCall(
+                requestId = request.id.value,
+                method = request.method,
+                path = request.path,
+                headers = request.headers,
+                body = request.body,
+                deadlineMillis = remainingMillis,
+                resumeAfter = request.resume?.lastEventId,
+            )
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
         try {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
@@ -5,6 +5,7 @@
 
 /**
  * A caller's request that is to be forwarded. [headers] are the caller's headers that are forwarded to the target.
+ * [resume] is set if the caller resumes a stream.
  * [arrivedAtMillis] and [deadlineAtMillis] are on the monotonic clock.
  */
 public data class CallerRequest(
@@ -15,4 +16,5 @@
     public val body: ByteArray,
     public val arrivedAtMillis: Long,
     public val deadlineAtMillis: Long,
+    public val resume: StreamResume? = null,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.crashes.CrashGuard
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.gateway.streams.StreamOrigins
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
@@ -27,12 +28,14 @@
  *   can't have received it.
  * - At most [Route.maxAttempts] targets are tried.
  * - A request whose content crashes its targets is refused, as the [CrashGuard] decides.
+ * - A resumed stream continues at the software version that began it, as the [StreamOrigins] know it, or is refused.
  * - The caller receives the final outcome by its deadline or the route's timeout, whichever comes first.
  */
 public class Forwarder(
     private val dependencies: TargetDependencies,
     private val crashes: CrashGuard,
     private val limits: ForwardLimits,
+    private val origins: StreamOrigins = StreamOrigins.NONE,
 ) {
     private val runner = AttemptRunner(dependencies, limits)
 
@@ -42,12 +45,11 @@
         route: Route,
     ): ForwardOutcome {
         val deadlineAtMillis = minOf(request.deadlineAtMillis, request.arrivedAtMillis + route.timeoutMillis)
-        val service = chooseService(route)
-        val forwarded = ForwardedRequest(request, route, service, deadlineAtMillis)
+        val forwarded = ForwardedRequest(request, route, deadlineAtMillis)
         val remainingMillis = deadlineAtMillis - dependencies.clock.monotonicMillis()
         val outcome =
             forwarded.guarded.refusal()
-                ?: withTimeoutOrNull(remainingMillis) { coroutineScope { forwarded.runAttempts(this) } }
+                ?: withTimeoutOrNull(remainingMillis) { coroutineScope { forwarded.run(this) } }
                 ?: if (forwarded.mayHaveRun) ForwardOutcome.TimedOut("deadline") else forwarded.notRun("deadline")
         forwarded.record(outcome)
         return outcome
@@ -68,9 +70,10 @@
     private inner class ForwardedRequest(
         private val request: CallerRequest,
         private val route: Route,
-        private val service: ServiceName,
         private val deadlineAtMillis: Long,
     ) {
+        private val placement = StreamPlacement(request, route, origins)
+        private val service by lazy(LazyThreadSafetyMode.NONE) { placement.service ?: chooseService(route) }
         private val tried = LinkedHashMap<TargetId, SoftwareVersion?>()
         private val outcomes = PendingResults<AttemptOutcome>()
         private var lastReason = "no target"
@@ -84,8 +87,9 @@
         /** Whether a target ran the request, or may be running it now. */
         val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
 
-        suspend fun runAttempts(scope: CoroutineScope): ForwardOutcome {
-            if (!launchNext(scope)) return noTarget(service)
+        suspend fun run(scope: CoroutineScope): ForwardOutcome {
+            val refusal = placement.refusal()?.let { notRun(it) } ?: if (launchNext(scope)) null else noTarget(service)
+            if (refusal != null) return refusal
             while (true) {
                 val outcome = nextOutcome(scope) ?: continue
                 val forwardOutcome = handleOutcome(outcome, scope)
@@ -177,13 +181,14 @@
          */
         private fun launchNext(scope: CoroutineScope): Boolean {
             val allowed = tried.size < route.maxAttempts && guarded.mayRun
-            val target = if (allowed) selectTarget(service, tried.keys) else null
+            val target = if (allowed) selectTarget(service, tried.keys, placement) else null
             if (target == null) return false
             tried[target.id] = target.softwareVersion
             dependencies.limits.charge(target, SendPurpose.REQUEST, dependencies.clock.monotonicMillis())
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
                 val outcome = runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM)
+                if (outcome is AttemptOutcome.StreamStarted) placement.started(target)
                 guarded.observe(outcome, target, sentAtMillis)
             }
             return true
@@ -210,8 +215,9 @@
     private fun selectTarget(
         service: ServiceName,
         tried: Set<TargetId>,
+        placement: StreamPlacement,
     ): Target? {
-        val usable = dependencies.gatewayState.targets.read().usable(service)
+        val usable = dependencies.gatewayState.targets.read().usable(service).filter { placement.allows(it) }
         val chosen = chooseTarget(dependencies.candidates(usable, SendPurpose.REQUEST), tried, dependencies.random)
         return usable.firstOrNull { it.id == chosen?.id }
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
@@ -0,0 +1,126 @@
+package bergamotwall.gateway.streams
+
+import bergamotwall.decisions.VersionHistory
+import bergamotwall.drivers.Condition
+import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.Write
+import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.gateway.targets.Target
+import bergamotwall.model.Jsons
+import bergamotwall.model.ServiceName
+import bergamotwall.model.SoftwareVersion
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.MapSerializer
+import kotlinx.serialization.builtins.nullable
+import kotlinx.serialization.builtins.serializer
+import org.tinylog.Logger
+
+/**
+ * The version histories of services that serve resumable streams. They are kept in the key-value service, where all
+ * processes watch them and any process updates them.
+ */
+internal class ServiceHistories(
+    private val dependencies: StreamOriginDependencies,
+    private val settings: StreamSettings,
+) {
+    private class Stored(val history: VersionHistory, val revision: Long)
+
+    @Volatile
+    private var watched: Map<ServiceName, Stored> = emptyMap()
+
+    /** Whether streams may have begun at some target of each service that serves resumable streams and has targets. */
+    val complete: Boolean
+        get() = streamingServices().all { service ->
+            val targets = dependencies.gatewayState.targets.read().of(service)
+            targets.isEmpty() || targets.any { serves(it) }
+        }
+
+    /** Applies the histories among the [entries] that all processes watch. */
+    fun onStoreChanged(entries: Map<String, KeyValueEntry>) {
+        val histories = HashMap<ServiceName, Stored>()
+        entries.values.filter { it.key.startsWith(StreamKeys.HISTORIES) }.forEach { entry ->
+            val service = ServiceName(entry.key.removePrefix(StreamKeys.HISTORIES))
+            historyOf(entry)?.let { histories[service] = Stored(it, entry.modRevision) }
+        }
+        watched = histories
+    }
+
+    /** Whether the software version of [target] is on record. */
+    fun serves(target: Target): Boolean {
+        val version = target.softwareVersion ?: return false
+        return watched[target.service]?.history?.serves(version) ?: false
+    }
+
+    /** Whether this process knows [service] to have had one software version only, and all its targets to run it. */
+    fun isUniform(service: ServiceName): Boolean {
+        val sole = watched[service]?.history?.sole(dependencies.clock.wallMillis(), settings.retentionMillis)
+        return sole != null && registered(service).all { it == sole }
+    }
+
+    /** Reads the sole software version of [service] from the key-value service; null if it had several. */
+    suspend fun readSole(service: ServiceName): Result<SoftwareVersion?, *> =
+        dependencies.store.get(StreamKeys.history(service)).map { entry ->
+            entry?.let { historyOf(it) }?.sole(dependencies.clock.wallMillis(), settings.retentionMillis)
+        }
+
+    /** Writes the histories that differ from the registered targets. */
+    suspend fun publish() {
+        val nowMillis = dependencies.clock.wallMillis()
+        streamingServices().forEach { service ->
+            val stored = watched[service]
+            val before = stored?.history ?: VersionHistory()
+            val next = before.next(registered(service), nowMillis, settings.retentionMillis)
+            if (next != before) write(service, next, stored?.revision ?: 0)
+        }
+    }
+
+    private suspend fun write(
+        service: ServiceName,
+        history: VersionHistory,
+        revision: Long,
+    ) {
+        val key = StreamKeys.history(service)
+        val value = history.leftAtMillis.mapKeys { it.key.value }
+        val put = Write.Put(key, Jsons.wire.encodeToString(serializer, value))
+        // Declined if another process was faster; the watch brings its history.
+        dependencies.store.commit(Transaction(listOf(Condition.Unchanged(key, revision)), listOf(put))).fold(
+            success = { Logger.info("event=software_versions service={} versions=\"{}\"", service.value, value) },
+            failure = {
+                Logger.warn(
+                    "event=software_versions_not_written service={} cause=\"{}\"",
+                    service.value,
+                    it.detail
+                )
+            },
+        )
+    }
+
+    private fun registered(service: ServiceName): Set<SoftwareVersion> =
+        dependencies.gatewayState.targets
+            .read()
+            .of(service)
+            .mapNotNullTo(HashSet()) { it.softwareVersion }
+
+    private fun streamingServices(): Set<ServiceName> =
+        dependencies.gatewayState.routes
+            .read()
+            .routes
+            .filter { it.kind == RouteKind.STREAM && it.resumable }
+            .flatMapTo(HashSet()) { route -> route.shares.map { it.service } }
+
+    private fun historyOf(entry: KeyValueEntry): VersionHistory? =
+        try {
+            VersionHistory(Jsons.wire.decodeFromString(serializer, entry.value).mapKeys { SoftwareVersion(it.key) })
+        } catch (e: SerializationException) {
+            Logger.warn("event=software_versions_unreadable key={} cause=\"{}\"", entry.key, e.message)
+            null
+        }
+
+    private companion object {
+        private val serializer = MapSerializer(String.serializer(), kotlin.Long.serializer().nullable)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/StreamOriginDependencies.kt
@@ -0,0 +1,16 @@
+package bergamotwall.gateway.streams
+
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.gateway.GatewayMetrics
+import bergamotwall.gateway.GatewayState
+import bergamotwall.runtime.Clock
+import kotlin.random.Random
+
+/** Dependencies of [SharedStreamOrigins]. */
+internal class StreamOriginDependencies(
+    val store: KeyValueStore,
+    val gatewayState: GatewayState,
+    val clock: Clock,
+    val random: Random,
+    val metrics: GatewayMetrics,
+)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
@@ -11,6 +11,9 @@
     public val mixedServices: Int =
         byService.values.count { targets -> targets.distinctBy { it.softwareVersion }.size > 1 }
 
+    /** Targets of [service], draining ones too. */
+    public fun of(service: ServiceName): List<Target> = byService[service].orEmpty()
+
     /** Targets of [service] that are not draining. */
-    public fun usable(service: ServiceName): List<Target> = byService[service].orEmpty().filterNot { it.draining }
+    public fun usable(service: ServiceName): List<Target> = of(service).filterNot { it.draining }
 }
