Relay requests to targets over peers while a path is lost

Cause: an entry had one way to the targets, its own, although its peers reached them; and each request found out anew, with a connect time-out of a second for each target. The class: one way to a dependency that others reach. That such an entry stays in the directory is no cause: callers keep addresses for a while, and a few entries can't take the connections of all.

RelayedTargetClient stands in place of the client for targets, so that forwarded requests, streams and items are covered alike, and nothing changes in how attempts, limits, crashes and repetitions are counted. A path is lost if no connection can be established, or if nothing arrives and two connections in a row get no answer; once two are lost, the others in use are checked. A request goes over one hop, and to a second peer only if the first did not pass it on. Peers that have no path either say so at once. Weight orders are not relayed.

Why it works: the peers reach the targets by the definition of the failure, and what they answer is passed on part by part, so that "not run" stays true.

Also ruled out: leaving the directory (see above); handing batches over, which starts their items anew; CBOR frames between the processes, which have no flow control and cancellation for each exchange.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -10,6 +10,9 @@
 import bergamotwall.gateway.members.EvacuationDependencies
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.Registration
+import bergamotwall.gateway.relays.RelayPeer
+import bergamotwall.gateway.relays.RelayedTargetClient
+import bergamotwall.gateway.relays.TargetRelay
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.RelayFailover
 import bergamotwall.gateway.store.RelayedStore
@@ -99,10 +102,22 @@
     public val configurationCurrent: Boolean
         get() = configurationAgeMillis()?.let { it <= settings.follow.configurationStaleMillis } ?: false
 
+    private val relayedRequests = metrics.counter("relayed_requests", "Requests to targets sent through a peer.")
+    private val targetClient =
+        RelayedTargetClient(
+            drivers.client,
+            ::relayPeers,
+            drivers.clock,
+            settings.relays,
+        ) { relayedRequests.inc() }
+
+    /** Sends requests to targets for peers that can't reach them. */
+    public val targetRelay: TargetRelay = TargetRelay(targetClient, loads, gatewayState, drivers.clock, scope)
+
     private val targetDependencies =
         TargetDependencies(
             gatewayState = gatewayState,
-            client = drivers.client,
+            client = targetClient,
             protocol = drivers.protocol,
             loads = loads,
             clock = drivers.clock,
@@ -181,6 +196,9 @@
         metrics.gauge("mixed_services", "Services whose registered targets run several software versions.") {
             gatewayState.targets.read().mixedServices
         }
+        metrics.gauge("lost_paths", "Addresses of targets and peers to which the process has no path.") {
+            targetClient.lostPaths
+        }
         metrics.gauge("limited_targets", "Targets that name a request limit.") { loads.limits().size }
         metrics.gauge("members", "Registered processes.") { gatewayState.members.read().members.size }
         metrics.gauge("configuration_revision", "Configuration in force.") { gatewayState.routes.read().revision.value }
@@ -197,6 +215,7 @@
     public fun start() {
         peerServer = PeerServer(settings.peerAddress, PeerHandler { message, _ -> handle(message) })
         watches.start(scope)
+        targetClient.start(scope)
         crashes.start(CoroutineScope(scope.coroutineContext + eventLoop))
         limitPublisher.start(CoroutineScope(scope.coroutineContext + eventLoop))
         streamOrigins.start(CoroutineScope(scope.coroutineContext + eventLoop))
@@ -256,8 +275,16 @@
             peerAddress = settings.peerAddress,
             frontAddress = settings.frontAddress,
             ready = ready,
+            relayAddress = settings.relayAddressOrDefault,
         )
 
+    private fun relayPeers(): List<RelayPeer> =
+        gatewayState.members
+            .read()
+            .members.values
+            .filter { it.id != settings.id }
+            .mapNotNull { member -> member.relayAddress?.let { RelayPeer(member.id, it) } }
+
     private fun onSectionChanged(section: WatchedSection) {
         registration.changed()
         streamOrigins.changed()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -3,6 +3,7 @@
 import bergamotwall.decisions.CrashLimits
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
+import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.weights.WeightSettings
 import bergamotwall.model.DataCentre
@@ -23,6 +24,8 @@
     val frontAddress: String? = null,
     /** Further addresses that serve the readiness check and the address directory, in addition to [frontAddress]. */
     val operationsAddresses: List<String> = emptyList(),
+    /** Address that relays peers' requests to targets; null for the port after that of [peerAddress]. */
+    val relayAddress: String? = null,
     /** Address that serves metrics at `/metrics`; null to disable. */
     val metricsAddress: String? = null,
     val logLevel: String = "info",
@@ -42,8 +45,14 @@
     val batches: BatchSettings = BatchSettings(),
     val crashes: CrashLimits = CrashLimits(),
     val streams: StreamSettings = StreamSettings(),
+    val relays: RelaySettings = RelaySettings(),
     val weights: WeightSettings = WeightSettings(),
-)
+) {
+    /** [relayAddress], or its default. */
+    public val relayAddressOrDefault: String
+        get() = relayAddress
+            ?: "${peerAddress.substringBeforeLast(':')}:${peerAddress.substringAfterLast(':').toInt() + 1}"
+}
 
 /** Timing of the watches on the key-value service. */
 @Serializable
@@ -93,6 +102,7 @@
             listOfNotNull(
                 settings.frontAddress?.let { "frontAddress" to it },
                 settings.metricsAddress?.let { "metricsAddress" to it },
+                settings.relayAddress?.let { "relayAddress" to it },
             ) +
             settings.operationsAddresses.map { "operationsAddresses" to it }
     addresses.forEach { (field, address) ->
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -58,7 +58,16 @@
     ): TargetCall {
         val headers = item.spec.headers.map { Header(it.name, it.value) } + Header("Host", record.host)
         val body = Base64.getDecoder().decode(item.spec.bodyBase64)
-        return TargetCall(item.spec.id.value, "POST", item.spec.path, headers, body, null, item.lastEventId)
+        return TargetCall(
+            requestId = item.spec.id.value,
+            method = "POST",
+            path = item.spec.path,
+            headers = headers,
+            body = body,
+            deadlineMillis = null,
+            resumeAfter = item.lastEventId,
+            repeatable = true,
+        )
     }
 
     private suspend fun receive(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -2,6 +2,8 @@
 
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetExchange
+import bergamotwall.gateway.routes.Route
+import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
 import bergamotwall.gateway.targets.TargetDependencies
@@ -20,8 +22,10 @@
         request: CallerRequest,
         target: Target,
         deadlineAtMillis: Long,
-        stream: Boolean,
+        route: Route,
     ): AttemptOutcome {
+        val stream = route.kind == RouteKind.STREAM
+        val repeatable = route.retryable || stream && route.resumable
         val load = dependencies.loads.of(target.id)
         val sentAtMillis = dependencies.clock.monotonicMillis()
         load.sent(sentAtMillis)
@@ -35,6 +39,7 @@
                 body = request.body,
                 deadlineMillis = remainingMillis,
                 resumeAfter = request.resume?.lastEventId,
+                repeatable = repeatable,
             )
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -4,7 +4,6 @@
 import bergamotwall.gateway.concurrent.PendingResults
 import bergamotwall.gateway.crashes.CrashGuard
 import bergamotwall.gateway.routes.Route
-import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.streams.StreamOrigins
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
@@ -187,7 +186,7 @@
             dependencies.limits.charge(target, SendPurpose.REQUEST, dependencies.clock.monotonicMillis())
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
-                val outcome = runner.run(request, target, deadlineAtMillis, route.kind == RouteKind.STREAM)
+                val outcome = runner.run(request, target, deadlineAtMillis, route)
                 if (outcome is AttemptOutcome.StreamStarted) placement.started(target)
                 guarded.observe(outcome, target, sentAtMillis)
             }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
@@ -58,9 +58,17 @@
         mayHaveRun: Boolean,
         disconnected: Boolean = false,
     ) {
+        fail(ResponsePart.Broken(reason, mayHaveRun, disconnected))
+    }
+
+    /** Ends the exchange because no connection could be established. */
+    fun unreachable(reason: String): Unit =
+        fail(ResponsePart.Broken(reason, mayHaveRun = false, unreachable = true))
+
+    private fun fail(part: ResponsePart.Broken) {
         if (ended) return
         ended = true
-        queue.trySend(ResponsePart.Broken(reason, mayHaveRun, disconnected))
+        queue.trySend(part)
         queue.close()
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -5,8 +5,10 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpClientCodec
+import kotlinx.coroutines.CompletableDeferred
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.atomic.AtomicLong
@@ -72,24 +74,54 @@
         return connection
     }
 
+    override suspend fun connect(
+        address: String,
+        timeoutMillis: Int,
+    ): ConnectOutcome {
+        val outcome = CompletableDeferred<ConnectOutcome>()
+        val once = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+        connect(once, address) { connection, cause ->
+            connection?.let { poolOf(address).addLast(it) }
+            val failure =
+                if (cause is ConnectTimeoutException) ConnectOutcome.NO_RESPONSE else ConnectOutcome.REFUSED
+            outcome.complete(if (connection == null) failure else ConnectOutcome.ESTABLISHED)
+        }
+        return outcome.await()
+    }
+
     private fun connect(
         address: String,
         exchange: NettyExchange,
+    ): Unit =
+        connect(bootstrap, address) { connection, cause ->
+            if (connection == null) {
+                exchange.unreachable("connect: ${cause?.message}")
+            } else {
+                connection.start(exchange)
+            }
+        }
+
+    private fun connect(
+        from: Bootstrap,
+        address: String,
+        onDone: (TargetConnection?, Throwable?) -> Unit,
     ) {
         opened.incrementAndGet()
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toInt()
-        bootstrap.connect(host, port).addListener { future ->
+        from.connect(host, port).addListener { future ->
             if (future.isSuccess) {
-                val pool = pools.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-                val connection = TargetConnection((future as ChannelFuture).channel(), limits, pool::addLast)
-                connection.start(exchange)
+                val channel = (future as ChannelFuture).channel()
+                onDone(TargetConnection(channel, limits, poolOf(address)::addLast), null)
             } else {
-                exchange.fail("connect: ${future.cause().message}", mayHaveRun = false)
+                onDone(null, future.cause())
             }
         }
     }
 
+    private fun poolOf(address: String): ConcurrentLinkedDeque<TargetConnection> =
+        pools.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+
     private companion object {
         private const val MAX_LINE_BYTES = 8_192
         private const val MAX_HEADER_BYTES = 65_536
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponsePart.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponsePart.kt
@@ -13,11 +13,13 @@
 
     /**
      * The exchange failed; no more parts follow. Unless [mayHaveRun], the target can't have read the request.
-     * [disconnected]: the target ended the connection, as it does when it crashes.
+     * [disconnected]: the target ended the connection, as it does when it crashes. [unreachable]: no connection could
+     * be established.
      */
     public data class Broken(
         val reason: String,
         val mayHaveRun: Boolean,
         val disconnected: Boolean = false,
+        val unreachable: Boolean = false,
     ) : ResponsePart
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetClient.kt
@@ -8,6 +8,14 @@
         request: TargetRequest,
     ): TargetExchange
 
+    /**
+     * Opens a connection to [address] and keeps it for a later request. Gives up after [timeoutMillis].
+     */
+    public suspend fun connect(
+        address: String,
+        timeoutMillis: Int,
+    ): ConnectOutcome
+
     /** Number of connections opened so far. */
     public val connectionsOpened: Long
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetRequest.kt
@@ -2,7 +2,7 @@
 
 /**
  * A request as sent to a target. [identity] is a header that the target echoes in its response: a response with another
- * value belongs to an earlier request and is skipped.
+ * value belongs to an earlier request and is skipped. [repeatable]: the request may run more than once.
  */
 public class TargetRequest(
     public val method: String,
@@ -10,4 +10,5 @@
     public val headers: List<Header>,
     public val body: ByteArray,
     public val identity: Header? = null,
+    public val repeatable: Boolean = false,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/GatewayMember.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/GatewayMember.kt
@@ -6,7 +6,8 @@
 
 /**
  * Registration of a gateway process, stored under a lease. [frontAddress] is where callers connect to it, null if they
- * can't; [ready] is false while it starts, shuts down or is evacuated. Each restart has a higher [incarnation].
+ * can't; [relayAddress] is where peers have requests to targets relayed, null if it does not relay; [ready] is false
+ * while it starts, shuts down or is evacuated. Each restart has a higher [incarnation].
  */
 @Serializable
 public data class GatewayMember(
@@ -16,4 +17,5 @@
     val peerAddress: String,
     val frontAddress: String? = null,
     val ready: Boolean = false,
+    val relayAddress: String? = null,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -24,7 +24,7 @@
 
 /**
  * A request to a target. [deadlineMillis] is the time that it may still take, or null for no limit. [resumeAfter] is
- * the id of the last event received; the response continues after it.
+ * the id of the last event received; the response continues after it. [repeatable]: the request may run more than once.
  */
 public data class TargetCall(
     public val requestId: String,
@@ -34,6 +34,7 @@
     public val body: ByteArray,
     public val deadlineMillis: Long?,
     public val resumeAfter: Long? = null,
+    public val repeatable: Boolean = false,
 )
 
 /**
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -3,6 +3,7 @@
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.crashes.CrashGuard
+import bergamotwall.gateway.http.ConnectOutcome
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetExchange
@@ -79,6 +80,11 @@
     }
 
     private class SlowTargets(private val firstMillis: Long) : TargetClient {
+        override suspend fun connect(
+            address: String,
+            timeoutMillis: Int,
+        ): ConnectOutcome = ConnectOutcome.REFUSED
+
         override var connectionsOpened = 0L
 
         override fun send(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
+import bergamotwall.gateway.http.ConnectOutcome
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetExchange
@@ -145,6 +146,11 @@
     }
 
     private object Unreachable : TargetClient {
+        override suspend fun connect(
+            address: String,
+            timeoutMillis: Int,
+        ): ConnectOutcome = ConnectOutcome.REFUSED
+
         override val connectionsOpened = 0L
 
         override fun send(
