Let a leader that reaches no engine resign

Orders can't be relayed, because engines would see two holders. So a leader whose paths are mostly lost, or that hears from none of several engines, resigns: when all its orders are answered and the platform's pause since the last one has passed, it records that nothing of it needs to be waited for. The successor may then act at once. With an unanswered order it gives the lease up as before, and the successor waits. It abstains for 10 s.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -222,8 +222,10 @@
         registration.start(scope)
         evacuation.start(CoroutineScope(scope.coroutineContext + eventLoop))
         weightRollout.start(
-            CoroutineScope(scope.coroutineContext + eventLoop)
-        ) { settings.frontAddress != null && ready && watches.shouldAcquireLeadership() }
+            CoroutineScope(scope.coroutineContext + eventLoop),
+            eligible = { settings.frontAddress != null && ready && watches.shouldAcquireLeadership() },
+            hasPaths = { !targetClient.cutOff },
+        )
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -10,6 +10,7 @@
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.model.Jsons
+import bergamotwall.runtime.LeadershipKeys
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
@@ -65,7 +66,7 @@
      * leader gets a head start, as it need not wait before it sends orders again.
      */
     fun shouldAcquireLeadership(): Boolean {
-        val hasHeadStart = lastLeader == null || lastLeader == settings.id.value
+        val hasHeadStart = lastLeader in setOf(null, LeadershipKeys.RESIGNED, settings.id.value)
         val freeSinceMillis = leadershipFreeSinceMillis.get()
         return freeSinceMillis != Long.MAX_VALUE &&
             drivers.clock.monotonicMillis() >= freeSinceMillis + if (hasHeadStart) 0 else HEAD_START_MILLIS
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/EngineStateCache.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/EngineStateCache.kt
@@ -4,6 +4,9 @@
 import bergamotwall.model.ModelName
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 
 /** What the leader learns about engines from their responses, in addition to their registrations. Not thread-safe. */
 internal class EngineStateCache(private val orders: WeightOrders) {
@@ -64,4 +67,16 @@
         report?.versions?.get(model)?.let { observedVersions[target.id to model] = it }
         return report?.acceptedOrders
     }
+
+    /** Whether one of a few of [targets] responds; true if there are none. */
+    suspend fun anyResponds(targets: List<Target>): Boolean {
+        val asked = targets.sortedBy { it.id.value }.take(MAX_ASKED)
+        return asked.isEmpty() ||
+            coroutineScope { asked.map { async { orders.report(it) } }.awaitAll().any { it != null } }
+    }
+
+    private companion object {
+        /** Fewer engines than this crash at the same time. */
+        private const val MAX_ASKED = 8
+    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.tinylog.Logger
 
 /** Dependencies of [WeightRollout]. */
 public data class WeightRolloutDependencies(
@@ -33,6 +34,9 @@
  * While this process is the leader, makes engines load the weight versions that trainers name. Not thread-safe: the
  * scope of [start] must be confined to one thread.
  *
+ * Gives up the leadership if it reaches none of several engines, because another process may reach them. Orders can't
+ * be relayed: engines would see two leaders.
+ *
  * Guarantees: no order is sent without the lease, nor while orders of the previous leader may still be under way. Each
  * order states how many orders the engine has accepted, so that the engine refuses an order that arrives late.
  */
@@ -45,20 +49,30 @@
     private val engines = EngineStateCache(dependencies.orders)
     private var mayActFromMillis: Long? = null
 
+    private val sentOrders = SentOrders(dependencies.clock)
+
+    /** Whether no engine responded when several were asked last. */
+    private var cutOff = false
+    private var abstainUntilMillis = Long.MIN_VALUE
+
     /**
      * The previous leader may act until it notices that its lease has expired, and engines require a pause between the
      * orders of two leaders.
      */
     private val predecessorWaitMillis = settings.leaseTtlSeconds * MILLIS_PER_SECOND + settings.pauseMillis
 
-    /** Starts the rollout in [scope]. [eligible] returns whether this process should try to become the leader. */
+    /**
+     * Starts the rollout in [scope]. [eligible] returns whether this process should try to become the leader,
+     * [hasPaths] whether it has paths to targets.
+     */
     public fun start(
         scope: CoroutineScope,
+        hasPaths: () -> Boolean = { true },
         eligible: () -> Boolean,
     ): Job =
         scope.launch {
             while (true) {
-                step(this, eligible())
+                step(this, eligible(), hasPaths())
                 delay(settings.periodMillis)
             }
         }
@@ -69,26 +83,36 @@
     private suspend fun step(
         scope: CoroutineScope,
         eligible: Boolean,
+        hasPaths: Boolean,
     ) {
-        if (leadership.holding == null && !eligible) return
-        leadership.step()
-        if (leadership.holding == null) {
-            reset()
-            return
+        val nowMillis = dependencies.clock.monotonicMillis()
+        val mayAcquire = eligible && hasPaths && nowMillis >= abstainUntilMillis
+        if (leadership.holding == null && !mayAcquire) return
+        val leaves = leadership.holding != null && (cutOff || !hasPaths)
+        if (leaves && sentOrders.settled(settings.pauseMillis)) {
+            Logger.warn("event={}", "leadership_given_up_without_engines")
+            abstainUntilMillis = nowMillis + settings.abstainMillis
+            if (sentOrders.allAnswered(settings.abstainMillis)) leadership.resign() else leadership.release()
+        } else {
+            leadership.step()
+        }
+        when {
+            leadership.holding == null -> reset()
+            !leaves && mayIssueOrders() -> plan(scope)
         }
-        if (mayIssueOrders()) plan(scope)
     }
 
     /** Whether orders of the previous leader can't arrive any more. No wait is needed if that was this process. */
     private suspend fun mayIssueOrders(): Boolean {
         val nowMillis = dependencies.clock.monotonicMillis()
-        val waitMillis = if (leadership.actedLast) 0 else predecessorWaitMillis
+        val waitMillis = if (leadership.actedLast || leadership.predecessorResigned) 0 else predecessorWaitMillis
         val from = mayActFromMillis ?: (nowMillis + waitMillis).also { mayActFromMillis = it }
         return nowMillis >= from && leadership.startActing()
     }
 
     private fun reset() {
         mayActFromMillis = null
+        cutOff = false
         loads.clear()
         engines.clear()
     }
@@ -145,7 +169,11 @@
         val expectedOrders = engines.acceptedOrders(target, model)
         val holding = leadership.holding
         when {
-            expectedOrders == null -> delay(settings.orderTimeoutMillis)
+            expectedOrders == null -> {
+                val engineList = dependencies.gatewayState.targets.read().usable(target.service)
+                cutOff = cutOff || !engines.anyResponds(engineList - target)
+                delay(settings.orderTimeoutMillis)
+            }
             holding == null || !leadership.mayAct() || engines.versionOf(target, model) >= version -> Unit
             else -> order(
                 target,
@@ -165,7 +193,7 @@
         target: Target,
         order: WeightOrder,
     ) {
-        val outcome = dependencies.orders.send(target, order)
+        val outcome = sentOrders.send { dependencies.orders.send(target, order) }
         dependencies.metrics.ordered(outcome.name)
         dependencies.journal.record(decisionOf(target, order, outcome))
         when (outcome) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightSettings.kt
@@ -15,6 +15,8 @@
     val orderTimeoutMillis: Long = 1_000,
     /** An engine that has not registered the version by then is queried for its state. A load takes about a second. */
     val loadMillis: Long = 3_000,
+    /** How long a process that gave up the leadership, because it reached no engine, does not acquire it again. */
+    val abstainMillis: Long = 10_000,
     /** Interval at which the leader plans new orders. */
     val periodMillis: Long = 200,
 )
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
@@ -40,6 +40,11 @@
     public var actedLast: Boolean = false
         private set
 
+    /** Whether the leader before this one resigned, so that nothing of it needs to be waited for. */
+    @Volatile
+    public var predecessorResigned: Boolean = false
+        private set
+
     /** The lease that this process holds, or null. */
     @Volatile
     public var holding: LeaseHolding? = null
@@ -78,6 +83,23 @@
         store.revoke(current)
     }
 
+    /**
+     * Gives up the leadership like [release], and lets the next leader act at once. Requires that no order is under
+     * way, and that the platform's pause between the orders of two leaders has passed.
+     */
+    public suspend fun resign() {
+        val key = keys.lastHolder
+        val revision = leaseRevision
+        val mayResign = key != null && actedLast && mayAct()
+        val current = lease
+        drop("resigned")
+        if (key != null && mayResign) {
+            val put = Write.Put(key, LeadershipKeys.RESIGNED)
+            store.commit(Transaction(listOf(Condition.Unchanged(keys.lease, revision)), listOf(put)))
+        }
+        current?.let { store.revoke(it) }
+    }
+
     private suspend fun acquire() {
         val response = store.get(keys.lease)
         val entry = response.get()
@@ -98,9 +120,15 @@
             lease = granted
             leaseRevision = outcome.revision
             actedLast = last?.entry?.value == node.value
+            predecessorResigned = last?.entry?.value == LeadershipKeys.RESIGNED
             val fence = FencingNumber(outcome.revision)
             holding = LeaseHolding(fence, requestedAtMillis, ttlMillis, ttlMillis / MARGIN_DIVISOR)
-            val rule = if (actedLast) "no other process acted since this one" else "the lease was free"
+            val rule =
+                when {
+                    actedLast -> "no other process acted since this one"
+                    predecessorResigned -> "the last leader resigned"
+                    else -> "the lease was free"
+                }
             journal.record(Decision("duty/$name", "acquired", rule, "", "fence ${outcome.revision}"))
         } else {
             store.revoke(granted)
