Require several lost paths before a leader resigns

Found by reading: where a process uses one path only, its loss, as by a target that has crashed, was already most of its paths, and a leader resigned. Two lost paths are required now, as for the check of the other paths.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetPaths.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetPaths.kt
@@ -14,8 +14,8 @@
     /** Addresses that are not reached. */
     val lost: Set<String> get() = paths.filterValues { it.lost }.keys
 
-    /** Whether most paths that are in use are lost. */
-    val mostLost: Boolean get() = paths.values.count { it.lost } * 2 > paths.size
+    /** Whether several paths are lost, and most of those in use. */
+    val mostLost: Boolean get() = paths.values.count { it.lost }.let { it >= MIN_LOST && it * 2 > paths.size }
 
     /** Whether requests to [address] should be relayed now. Records that it is in use. */
     fun relays(address: String): Boolean {
