Use no peer that is not reached, and remember those in use

Found by reading. The path to a peer was not recorded as in use, so that a lost one was forgotten within half a second and the peer was asked again; and as the last choice a peer was asked although it was known to be silent, where a request could wait until its deadline. Peers with a lost path are left out now. What is known of failures is dropped when it is outdated. RelayedTargetClientTest has the case.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayedTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayedTargetClient.kt
@@ -42,17 +42,14 @@
     override fun send(
         address: String,
         request: TargetRequest,
-    ): TargetExchange {
-        val relays = paths.relays(address)
-        val first = if (relays) null else direct(address, request)
-        return FailoverExchange(first, RelayAttempts(address, request))
-    }
+    ): TargetExchange = FailoverExchange(sendDirectly(address, request), RelayAttempts(address, request))
 
     /** Starts to send [request] to [address] over the path of this process only; null if that is lost. */
     fun sendDirectly(
         address: String,
         request: TargetRequest,
-    ): TargetExchange? = if (paths.relays(address)) null else direct(address, request)
+    ): TargetExchange? =
+        if (paths.used(address).relays(clock.monotonicMillis())) null else direct(address, request)
 
     /** Records that no connection to [address] could be established because of [cause]. */
     fun directFailed(
@@ -72,7 +69,7 @@
 
         /** Sends the request to the next peer; null if there is none left. */
         fun next(): TargetExchange? {
-            current?.let { failedAtMillis[it.address to address] = clock.monotonicMillis() }
+            current?.let { failed(it, address) }
             val peer = candidates.removeFirstOrNull()
             current = peer
             if (peer == null) {
@@ -89,19 +86,29 @@
                     request.identity,
                     request.repeatable,
                 )
+            paths.used(peer.address)
             return RelayExchange(direct(peer.address, relayed)) {
                 succeededAtMillis[peer.address] = clock.monotonicMillis()
             }
         }
 
         /** Records that the direct path has failed because of [cause]. */
-        fun directFailed(cause: String): Unit = paths.lost(address, cause)
+        fun directFailed(cause: String): Unit = directFailed(address, cause)
+    }
+
+    private fun failed(
+        peer: RelayPeer,
+        address: String,
+    ) {
+        val nowMillis = clock.monotonicMillis()
+        failedAtMillis.values.removeIf { !isRecent(it, nowMillis) }
+        failedAtMillis[peer.address to address] = nowMillis
     }
 
     /** Spreads the addresses over the peers that have paths, so that each peer keeps connections to few targets. */
     private fun choosePeers(address: String): List<RelayPeer> {
         val nowMillis = clock.monotonicMillis()
-        val remaining = peers().associateBy { it.id }.toMutableMap()
+        val remaining = peers().filterNot { paths.isLost(it.address) }.associateBy { it.id }.toMutableMap()
         val ordered = ArrayList<RelayPeer>()
         while (remaining.isNotEmpty()) {
             val next = ownerOf(address, remaining.keys) ?: break
@@ -117,7 +124,7 @@
         nowMillis: Long,
     ): Int =
         when {
-            paths.isLost(peer.address) || isRecent(failedAtMillis[peer.address to address], nowMillis) -> 2
+            isRecent(failedAtMillis[peer.address to address], nowMillis) -> 2
             isRecent(succeededAtMillis[peer.address], nowMillis) -> 0
             else -> 1
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetPaths.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetPaths.kt
@@ -17,10 +17,10 @@
     /** Whether several paths are lost, and most of those in use. */
     val mostLost: Boolean get() = paths.values.count { it.lost }.let { it >= MIN_LOST && it * 2 > paths.size }
 
-    /** Whether requests to [address] should be relayed now. Records that it is in use. */
-    fun relays(address: String): Boolean {
+    /** Records that [address] is in use. Returns its path. */
+    fun used(address: String): TargetPath {
         val nowMillis = clock.monotonicMillis()
-        return update(address) { it.copy(usedAtMillis = nowMillis) }.relays(nowMillis)
+        return update(address) { it.copy(usedAtMillis = nowMillis) }
     }
 
     /** Whether the path to [address] is lost. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
@@ -11,6 +11,7 @@
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.runtime.Clock
 import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.ResponseHeaders
@@ -34,7 +35,7 @@
 ) : HttpService {
     override fun serve(
         context: ServiceRequestContext,
-        request: com.linecorp.armeria.common.HttpRequest,
+        request: HttpRequest,
     ): HttpResponse {
         val response = scope.future { relay(request.aggregate().await()) }
         context.whenRequestCancelling().thenAccept { response.cancel(true) }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/relays/RelayedTargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/relays/RelayedTargetClientTest.kt
@@ -95,6 +95,24 @@
             expectThat("third:1" in network.sent).isFalse()
         }
 
+    @Test
+    fun `a peer that is not reached is not used`() =
+        runTest {
+            network.answers[TARGET] = "unreachable"
+            val client = client()
+            client.start(backgroundScope)
+            val (first) = network.orderOfPeers(client, this)
+            PEERS.forEach { network.answers[it.address] = "ok" }
+            network.answers[first] = "silent"
+            network.connections = ConnectOutcome.NO_RESPONSE
+            val part = async { client.send(TARGET, request()).next() }
+            delay(PATIENCE_MILLIS)
+            expectThat(describe(part.await())).isEqualTo("may have run")
+            network.sent.clear()
+            expectThat(describe(client.send(TARGET, request()).next())).isEqualTo("200")
+            expectThat(first in network.sent).isFalse()
+        }
+
     @Test
     fun `a path that no peer has either is tried directly again`() =
         runTest {
