Send nothing further to a target that says in a response that it leaves

What callers saw: a target that leaves says so in all its responses too (Server-Leaving). An entry read only the registration. A target that never registers it, or whose registration the entry can't read because the key-value service is away, was sent requests until they failed with its end.

Cause: the adapter dropped the header, and the only mark of a departure was a field of the registration.

Change: PlatformTargetProtocol decodes the header into ResponseMetadata.leaving. Departures records it, for signed responses only and not for misdirected requests, in the TargetList, whose usable() everything asks that sends to targets: forwarded requests, streams, retries, hedges, resumed runs, items, weight orders, and relaying peers, by a check of their own. The decision is DepartureTable: by incarnation, never revoked, kept for two minutes after the registration has ended. Connections to a leaving target are closed when idle. Weight orders: a load takes much of the time that a leaving engine still serves. Targets make no calls through the gateway, and it sends no health checks.

Ruled out: sharing departures between entries. The rule is each entry's own, and a response or the registration tells each of them; it would cost messages.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -111,9 +111,6 @@
             settings.relays,
         ) { relayedRequests.inc() }
 
-    /** Sends requests to targets for peers that can't reach them. */
-    public val targetRelay: TargetRelay = TargetRelay(targetClient, loads, gatewayState, drivers.clock, scope)
-
     private val targetDependencies =
         TargetDependencies(
             gatewayState = gatewayState,
@@ -128,6 +125,9 @@
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
         )
 
+    /** Sends requests to targets for peers that can't reach them. */
+    public val targetRelay: TargetRelay = TargetRelay(targetClient, targetDependencies, scope)
+
     private val crashes: SharedCrashGuard =
         SharedCrashGuard(
             CrashGuardDependencies(
@@ -157,8 +157,7 @@
     private val watches: StoreWatches = StoreWatches(
         settings,
         drivers.copy(store = store, feed = store),
-        gatewayState,
-        loads,
+        targetDependencies,
         { entries ->
             crashes.onStoreChanged(entries)
             limitPublisher.onStoreChanged(entries)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayState.kt
@@ -9,14 +9,14 @@
 import bergamotwall.runtime.AtomicSnapshot
 
 /**
- * State of the key-value service as known to a gateway process. Each property is written by one watch; request handling
- * reads immutable snapshots.
+ * State of the key-value service as known to a gateway process. Each property is written by one watch, except as
+ * stated; request handling reads immutable snapshots.
  */
 public class GatewayState {
     /** The current configuration of routes. */
     public val routes: AtomicSnapshot<RouteTable> = AtomicSnapshot(RouteTable())
 
-    /** Registered targets. */
+    /** Registered targets. Responses in which targets say that they are leaving update it, too. */
     public val targets: AtomicSnapshot<TargetList> = AtomicSnapshot(TargetList())
 
     /** Registered gateway processes, including this one. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -7,8 +7,7 @@
 import bergamotwall.gateway.store.PrefixWatcher
 import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.store.WatchTiming
-import bergamotwall.gateway.targets.TargetList
-import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.Jsons
 import bergamotwall.runtime.LeadershipKeys
 import kotlinx.coroutines.CoroutineScope
@@ -19,16 +18,16 @@
 /** Parts of the [GatewayState] whose changes are reported. */
 internal enum class WatchedSection { ROUTES, TARGETS, MEMBERS, EVACUATIONS }
 
-/** Watches the key-value service and updates [gatewayState]. Never replaces the configuration by an older one. */
+/** Watches the key-value service and updates the [GatewayState]. Never replaces the configuration by an older one. */
 internal class StoreWatches(
     private val settings: GatewaySettings,
     private val drivers: GatewayDrivers,
-    private val gatewayState: GatewayState,
-    private val loads: TargetLoads,
+    private val targets: TargetDependencies,
     private val onLiveEntries: (Map<String, KeyValueEntry>) -> Unit,
     private val onChange: (WatchedSection) -> Unit,
 ) {
     private val watchSettings = settings.follow
+    private val gatewayState = targets.gatewayState
     private val operatorWatcher =
         watcher(
             drivers.documents.operatorPrefix,
@@ -126,11 +125,8 @@
             )
         }
         (previous.keys - list.keys).forEach { Logger.info("event=target_gone id={}", it.value) }
-        list.values.filter { it.draining && previous[it.id]?.draining == false }.forEach {
-            Logger.info("event=target_draining id={}", it.id.value)
-        }
-        gatewayState.targets.update { TargetList(list) }
-        loads.retain(list.keys)
+        targets.departures.registered(list, drivers.clock.monotonicMillis())
+        targets.loads.retain(list.keys)
         targetsLoaded = true
         onChange(WatchedSection.TARGETS)
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -90,7 +90,7 @@
         exchange: TargetExchange,
     ): ItemOutcome {
         val metadata = dependencies.protocol.read(head)
-        dependencies.responded(target, metadata, item.sentAtMillis)
+        dependencies.responded(target, metadata, item.spec.id.value, item.sentAtMillis)
         val version = metadata.version?.let { WeightVersion(it) }
         return when {
             metadata.notRun -> ItemOutcome.NotRun("status ${head.status}", metadata.full)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -44,7 +44,7 @@
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
         try {
-            val outcome = receive(exchange, target, stream, sentAtMillis)
+            val outcome = receive(exchange, Attempt(target, call.requestId, stream, sentAtMillis))
             when (outcome) {
                 is AttemptOutcome.Complete -> load.succeeded(dependencies.clock.monotonicMillis() - sentAtMillis)
                 is AttemptOutcome.StreamStarted -> streaming = true
@@ -58,31 +58,29 @@
         }
     }
 
+    private class Attempt(val target: Target, val requestId: String, val stream: Boolean, val sentAtMillis: Long)
+
     private suspend fun receive(
         exchange: TargetExchange,
-        target: Target,
-        stream: Boolean,
-        sentAtMillis: Long,
+        attempt: Attempt,
     ): AttemptOutcome =
         when (val first = exchange.next()) {
-            is ResponsePart.Head -> handleHead(exchange, target, stream, first, sentAtMillis)
+            is ResponsePart.Head -> handleHead(exchange, attempt, first)
             is ResponsePart.Broken -> outcomeOf(first)
             is ResponsePart.Body, ResponsePart.End, null -> AttemptOutcome.Broken("response without a head")
         }
 
     private suspend fun handleHead(
         exchange: TargetExchange,
-        target: Target,
-        stream: Boolean,
+        attempt: Attempt,
         head: ResponsePart.Head,
-        sentAtMillis: Long,
     ): AttemptOutcome {
         val metadata = dependencies.protocol.read(head)
-        dependencies.responded(target, metadata, sentAtMillis)
+        dependencies.responded(attempt.target, metadata, attempt.requestId, attempt.sentAtMillis)
         return when {
             metadata.notRun -> AttemptOutcome.NotRun("status ${head.status}", metadata.full)
             !metadata.signed -> AttemptOutcome.Broken("unsigned response with status ${head.status}")
-            stream && head.status == OK -> AttemptOutcome.StreamStarted(head, exchange)
+            attempt.stream && head.status == OK -> AttemptOutcome.StreamStarted(head, exchange)
             else -> readBody(exchange, head)
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import kotlinx.coroutines.CompletableDeferred
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -31,7 +30,7 @@
     channelType: Class<out Channel>,
     private val limits: TargetClientLimits,
 ) : TargetClient {
-    private val pools = ConcurrentHashMap<String, ConcurrentLinkedDeque<TargetConnection>>()
+    private val pools = ConcurrentHashMap<String, ConnectionPool>()
     private val opened = AtomicLong()
     private val bootstrap =
         Bootstrap()
@@ -54,24 +53,17 @@
         request: TargetRequest,
     ): TargetExchange {
         val exchange = NettyExchange(request)
-        val pooled = takePooled(address)
+        val pooled = pools[address]?.take()
         if (pooled == null) connect(address, exchange) else pooled.start(exchange)
         return exchange
     }
 
     override fun close() {
-        pools.values.forEach { pool -> pool.forEach { it.close() } }
-        pools.clear()
+        pools.keys.forEach { retire(it) }
     }
 
-    private fun takePooled(address: String): TargetConnection? {
-        val pool = pools[address] ?: return null
-        var connection = pool.pollLast()
-        while (connection != null && !connection.reusable) {
-            connection.close()
-            connection = pool.pollLast()
-        }
-        return connection
+    override fun retire(address: String) {
+        pools.remove(address)?.close()
     }
 
     override suspend fun connect(
@@ -81,7 +73,7 @@
         val outcome = CompletableDeferred<ConnectOutcome>()
         val once = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
         connect(once, address) { connection, cause ->
-            connection?.let { poolOf(address).addLast(it) }
+            connection?.let { poolOf(address).add(it) }
             val failure =
                 if (cause is ConnectTimeoutException) ConnectOutcome.NO_RESPONSE else ConnectOutcome.REFUSED
             outcome.complete(if (connection == null) failure else ConnectOutcome.ESTABLISHED)
@@ -112,15 +104,14 @@
         from.connect(host, port).addListener { future ->
             if (future.isSuccess) {
                 val channel = (future as ChannelFuture).channel()
-                onDone(TargetConnection(channel, limits, poolOf(address)::addLast), null)
+                onDone(TargetConnection(channel, limits, poolOf(address)::add), null)
             } else {
                 onDone(null, future.cause())
             }
         }
     }
 
-    private fun poolOf(address: String): ConcurrentLinkedDeque<TargetConnection> =
-        pools.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+    private fun poolOf(address: String): ConnectionPool = pools.computeIfAbsent(address) { ConnectionPool() }
 
     private companion object {
         private const val MAX_LINE_BYTES = 8_192
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetClient.kt
@@ -16,6 +16,9 @@
         timeoutMillis: Int,
     ): ConnectOutcome
 
+    /** Closes the connections to [address] that exist now, as soon as they are idle. */
+    public fun retire(address: String)
+
     /** Number of connections opened so far. */
     public val connectionsOpened: Long
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
@@ -1,15 +1,14 @@
 package bergamotwall.gateway.relays
 
-import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.http.Header
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetExchange
 import bergamotwall.gateway.http.TargetRequest
 import bergamotwall.gateway.http.isHopByHop
 import bergamotwall.gateway.http.streamedResponse
+import bergamotwall.gateway.targets.Target
+import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLoad
-import bergamotwall.gateway.targets.TargetLoads
-import bergamotwall.runtime.Clock
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
@@ -24,13 +23,12 @@
 
 /**
  * Sends requests to targets on behalf of peers that have no path to them. It decides nothing: the peer has chosen the
- * target, and counts the attempt. A request goes to a registered target over the path of this process, or not at all.
+ * target, and counts the attempt. A request goes to a registered target that is not leaving, over the path of this
+ * process, or not at all.
  */
 public class TargetRelay internal constructor(
     private val client: RelayedTargetClient,
-    private val loads: TargetLoads,
-    private val gatewayState: GatewayState,
-    private val clock: Clock,
+    private val dependencies: TargetDependencies,
     private val scope: CoroutineScope,
 ) : HttpService {
     override fun serve(
@@ -44,25 +42,28 @@
 
     private suspend fun relay(request: AggregatedHttpRequest): HttpResponse {
         val address = request.headers().get(RelayHeaders.TARGET)
-        val target = gatewayState.targets.read().targets.values.firstOrNull { it.address == address }
+        val list = dependencies.gatewayState.targets.read()
+        val target = list.targets.values.firstOrNull { it.address == address && !list.isLeaving(it) }
         val exchange = target?.let { client.sendDirectly(it.address, requestOf(request)) }
         return if (target == null || exchange == null) {
             outcome(RelayHeaders.NOT_RUN)
         } else {
-            val load = loads.of(target.id)
-            load.sent(clock.monotonicMillis())
-            respond(target.address, LoadedExchange(exchange, load))
+            val load = dependencies.loads.of(target.id)
+            load.sent(dependencies.clock.monotonicMillis())
+            respond(target, LoadedExchange(exchange, load), request)
         }
     }
 
     private suspend fun respond(
-        address: String,
+        target: Target,
         exchange: TargetExchange,
+        request: AggregatedHttpRequest,
     ): HttpResponse {
         var streaming = false
         try {
             val first = exchange.next()
-            if (first is ResponsePart.Broken && first.unreachable) client.directFailed(address, first.reason)
+            if (first is ResponsePart.Broken && first.unreachable) client.directFailed(target.address, first.reason)
+            if (first is ResponsePart.Head) observe(target, first, request)
             streaming = first is ResponsePart.Head
             return when (first) {
                 is ResponsePart.Head -> streamedResponse(first, exchange, scope)
@@ -74,6 +75,22 @@
         }
     }
 
+    private fun observe(
+        target: Target,
+        head: ResponsePart.Head,
+        request: AggregatedHttpRequest,
+    ) {
+        val metadata = dependencies.protocol.read(head)
+        if (metadata.signed && metadata.leaving) {
+            dependencies.departures.announced(target, identityOf(request)?.value.orEmpty())
+        }
+    }
+
+    private fun identityOf(request: AggregatedHttpRequest): Header? =
+        request.headers().get(RelayHeaders.IDENTITY)?.let { name ->
+            request.headers().get(name)?.let { Header(name, it) }
+        }
+
     private fun outcomeOf(part: ResponsePart.Broken): String =
         when {
             !part.mayHaveRun -> RelayHeaders.NOT_RUN
@@ -93,13 +110,12 @@
             val skip = text.startsWith(":") || text == "host" || isHopByHop(text) || RelayHeaders.contains(text)
             if (!skip) headers += Header(text, value)
         }
-        val identity = received.get(RelayHeaders.IDENTITY)?.let { name -> received.get(name)?.let { Header(name, it) } }
         return TargetRequest(
             method = request.method().name,
             path = request.path(),
             headers = headers,
             body = request.content().array(),
-            identity = identity,
+            identity = identityOf(request),
             repeatable = received.get(RelayHeaders.REPEATABLE) != null,
         )
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -21,6 +21,7 @@
     public val dataCentre: DataCentre,
     public val metrics: GatewayMetrics,
     public val limits: TargetLimits,
+    public val departures: Departures = Departures(gatewayState, client, metrics),
 ) {
     /** Input for the placement policy: the current state of [targets] for requests of [purpose]. */
     internal fun candidates(
@@ -34,16 +35,20 @@
         }
     }
 
-    /** Records what the head of [target]'s response to a request sent at [sentAtMillis] tells of the target. */
+    /**
+     * Records what the head of [target]'s response to request [requestId], sent at [sentAtMillis], tells of the target.
+     */
     internal fun responded(
         target: Target,
         metadata: ResponseMetadata,
+        requestId: String,
         sentAtMillis: Long,
     ) {
         val load = loads.of(target.id)
         val nowMillis = clock.monotonicMillis()
         metadata.load?.let { load.reported(it, nowMillis) }
         if (metadata.signed && !metadata.notRun) load.responding()
+        if (metadata.signed && metadata.leaving) departures.announced(target, requestId)
         // Other responses may come from a process that has taken over the address.
         if (metadata.signed || metadata.full) limits.reported(target, metadata.limitPerSecond, sentAtMillis, nowMillis)
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -85,6 +85,8 @@
             timeoutMillis: Int,
         ): ConnectOutcome = ConnectOutcome.REFUSED
 
+        override fun retire(address: String) = Unit
+
         override var connectionsOpened = 0L
 
         override fun send(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -69,6 +70,23 @@
         expectThat(send(target, "1").last).isA<ResponsePart.Broken>().get { mayHaveRun }.isTrue()
     }
 
+    @ParameterizedTest(name = "retired while a request is running: {0}")
+    @ValueSource(booleans = [false, true])
+    fun `connections to a retired address are closed, but not under a request`(running: Boolean) {
+        val target = ScriptedTarget(listOf(responseOf("first"), responseOf("second", "2"), responseOf("third", "3")))
+        server = target
+        val address = "127.0.0.1:${target.port}"
+        val first = send(target, "1") { if (running) client.retire(address) }
+        expectThat(first.body).isEqualTo("first")
+        awaitEventLoop()
+        if (!running) client.retire(address)
+        send(target, "2")
+        awaitEventLoop()
+        send(target, "3")
+        // The first one is not used again; the second one, opened since, is.
+        expectThat(target.connections).isEqualTo(2)
+    }
+
     /** The client keeps a connection only after the response has ended, in the same pass of the event loop. */
     private fun awaitEventLoop() {
         group.submit {}.sync()
@@ -79,6 +97,7 @@
     private fun send(
         target: ScriptedTarget,
         id: String,
+        onHead: () -> Unit = {},
     ): Received =
         runBlocking {
             val request = TargetRequest("POST", "/p", listOf(Header("Id", id)), "x".toByteArray(), Header("Id", id))
@@ -87,6 +106,7 @@
                 val exchange = client.send("127.0.0.1:${target.port}", request)
                 var part = exchange.next()
                 while (part != null) {
+                    if (part is ResponsePart.Head) onHead()
                     if (part is ResponsePart.Body) target.onBodyRead()
                     parts += part
                     part = exchange.next()
--- a/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
@@ -133,6 +133,7 @@
                     version = null,
                     limitPerSecond = perSecond
                 ),
+                "r",
                 clock.monotonicMillis(),
             )
         }
@@ -151,6 +152,8 @@
             timeoutMillis: Int,
         ): ConnectOutcome = ConnectOutcome.REFUSED
 
+        override fun retire(address: String) = Unit
+
         override val connectionsOpened = 0L
 
         override fun send(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/relays/RelayedTargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/relays/RelayedTargetClientTest.kt
@@ -194,6 +194,8 @@
         val sent = ArrayList<String>()
         val requests = ArrayList<TargetRequest>()
         var connections = ConnectOutcome.REFUSED
+        override fun retire(address: String) = Unit
+
         override val connectionsOpened = 0L
 
         /** The order in which [client] tries the peers. */
