Abandon a relayed request once its sender would have

If the process that asked it lost power and the target was silent, the request stayed open until TCP gave up.

Cause: it relied on the asking process to cancel, which one without power can't. Class: a wait whose end depends on another process.

Change: TargetCall, and with it TargetRequest, states how long its sender accepts silence: the deadline of a forwarded request, the idle limit of an item. Relayed requests carry it (relay-max-silence-millis), and the relaying process breaks the exchange after that. Its clock starts after the sender's, so it never ends a response that the sender still waits for.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -67,6 +67,7 @@
             deadlineMillis = null,
             resumeAfter = item.lastEventId,
             repeatable = true,
+            maxSilenceMillis = idleTimeoutMillis,
         )
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayHeaders.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayHeaders.kt
@@ -14,6 +14,9 @@
     /** Present if the request may run more than once. */
     const val REPEATABLE = "relay-repeatable"
 
+    /** Time without any part of a response after which the sender has given up. */
+    const val MAX_SILENCE_MILLIS = "relay-max-silence-millis"
+
     /** In responses without a target's response: [NOT_RUN], [UNKNOWN] or [DISCONNECTED]. */
     const val OUTCOME = "relay-outcome"
 
@@ -26,7 +29,7 @@
     /** The target ended the connection before its response; it may have run the request. */
     const val DISCONNECTED = "disconnected"
 
-    private val ALL = setOf(TARGET, IDENTITY, REPEATABLE, OUTCOME)
+    private val ALL = setOf(TARGET, IDENTITY, REPEATABLE, MAX_SILENCE_MILLIS, OUTCOME)
 
     /** Fields to add to [request], which is to be passed on to [address]. */
     fun of(
@@ -37,6 +40,7 @@
             Header(TARGET, address),
             request.identity?.let { Header(IDENTITY, it.name) },
             Header(REPEATABLE, "1").takeIf { request.repeatable },
+            request.maxSilenceMillis?.let { Header(MAX_SILENCE_MILLIS, it.toString()) },
         )
 
     /** Whether [name] is one of these fields. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayedTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayedTargetClient.kt
@@ -85,6 +85,7 @@
                     request.body,
                     request.identity,
                     request.repeatable,
+                    request.maxSilenceMillis,
                 )
             paths.used(peer.address)
             return RelayExchange(direct(peer.address, relayed)) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
@@ -50,10 +50,17 @@
         } else {
             val load = dependencies.loads.of(target.id)
             load.sent(dependencies.clock.monotonicMillis())
-            respond(target, LoadedExchange(exchange, load), request)
+            respond(target, limited(LoadedExchange(exchange, load), request), request)
         }
     }
 
+    private fun limited(
+        exchange: TargetExchange,
+        request: AggregatedHttpRequest,
+    ): TargetExchange =
+        request.headers().getLong(RelayHeaders.MAX_SILENCE_MILLIS)?.let { SilenceLimitedExchange(exchange, it) }
+            ?: exchange
+
     private suspend fun respond(
         target: Target,
         exchange: TargetExchange,
@@ -117,6 +124,7 @@
             body = request.content().array(),
             identity = identityOf(request),
             repeatable = received.get(RelayHeaders.REPEATABLE) != null,
+            maxSilenceMillis = received.getLong(RelayHeaders.MAX_SILENCE_MILLIS),
         )
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -25,6 +25,7 @@
 /**
  * A request to a target. [deadlineMillis] is the time that it may still take, or null for no limit. [resumeAfter] is
  * the id of the last event received; the response continues after it. [repeatable]: the request may run more than once.
+ * The sender gives up if nothing arrives for [maxSilenceMillis].
  */
 public data class TargetCall(
     public val requestId: String,
@@ -35,6 +36,7 @@
     public val deadlineMillis: Long?,
     public val resumeAfter: Long? = null,
     public val repeatable: Boolean = false,
+    public val maxSilenceMillis: Long? = deadlineMillis,
 )
 
 /**
