Count each departure once, by what told it first

A target that had registered as draining and then said so in a response to a request sent before was logged and counted twice, because the response was compared with the registration at the time of sending. It is compared with the current one now.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/Departures.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/Departures.kt
@@ -23,9 +23,10 @@
         target: Target,
         requestId: String,
     ) {
-        if (gatewayState.targets.read().isLeaving(target)) return
+        val before = gatewayState.targets.read()
+        if (before.hasAnnounced(target)) return
         gatewayState.targets.update { it.withDeparture(target) }
-        found(target, "response", requestId)
+        if (!wasLeaving(before, target)) found(target, "response", requestId)
     }
 
     /** Replaces the registered targets by [registered] at [nowMillis]. */
@@ -35,15 +36,17 @@
     ) {
         val before = gatewayState.targets.read()
         gatewayState.targets.update { it.next(registered, nowMillis) }
-        registered.values
-            .filter { it.draining && !before.isLeaving(it.copy(draining = wasDraining(before, it))) }
-            .forEach { found(it, "registration", "") }
+        registered.values.filter { it.draining && !wasLeaving(before, it) }.forEach { found(it, "registration", "") }
     }
 
-    private fun wasDraining(
+    /** Whether the incarnation [target] was leaving, by its earlier registration, if any, or by a response. */
+    private fun wasLeaving(
         before: TargetList,
         target: Target,
-    ): Boolean = before.targets[target.id]?.let { it.draining && it.startedAtMillis == target.startedAtMillis } ?: false
+    ): Boolean {
+        val earlier = before.targets[target.id]?.takeIf { it.startedAtMillis == target.startedAtMillis }
+        return earlier?.draining == true || before.hasAnnounced(target)
+    }
 
     private fun found(
         target: Target,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
@@ -23,8 +23,10 @@
     public fun usable(service: ServiceName): List<Target> = usableByService[service].orEmpty()
 
     /** Whether [target] is leaving, by its registration or by one of its responses. */
-    public fun isLeaving(target: Target): Boolean =
-        target.draining || departures.contains(target.id, target.startedAtMillis)
+    public fun isLeaving(target: Target): Boolean = target.draining || hasAnnounced(target)
+
+    /** Whether [target] has said in a response that it is leaving. */
+    public fun hasAnnounced(target: Target): Boolean = departures.contains(target.id, target.startedAtMillis)
 
     /** The list once [target] has said in a response that it is leaving. */
     public fun withDeparture(target: Target): TargetList =
