--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetRequest.kt
@@ -5,7 +5,7 @@
  * value belongs to an earlier request and is skipped. [repeatable]: the request may run more than once. The sender
  * gives up if nothing arrives for [maxSilenceMillis]; null if it may wait for ever.
  */
-public class TargetRequest(
+public data class TargetRequest(
     public val method: String,
     public val path: String,
     public val headers: List<Header>,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayedTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/RelayedTargetClient.kt
@@ -77,16 +77,7 @@
                 return null
             }
             onRelayed()
-            val relayed =
-                TargetRequest(
-                    request.method,
-                    request.path,
-                    request.headers + RelayHeaders.of(address, request),
-                    request.body,
-                    request.identity,
-                    request.repeatable,
-                    request.maxSilenceMillis,
-                )
+            val relayed = request.copy(headers = request.headers + RelayHeaders.of(address, request))
             paths.used(peer.address)
             return RelayExchange(direct(peer.address, relayed)) {
                 succeededAtMillis[peer.address] = clock.monotonicMillis()
