Leave out odd entries of other writers alone, and resume loops that fail

Cause: PlatformDocuments built the tree of a registration outside of the block that catches decoding errors, and recursion has no bound, so that a deeply nested entry ended the watch of the targets with a StackOverflowError; a port out of range failed in the sender's own path. A loop that failed once never ran again. Ruled out: the streaming decoder itself, which skips unknown fields without recursion.

Change: one function decodes each document that another process may have written, with bounds on size and depth before anything is built; an entry is decoded and logged once a revision. NetworkAddress can't hold a port out of range. Long-lived loops run under launchSupervised, which logs and counts an unexpected error and resumes the loop.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -9,6 +9,7 @@
 import bergamotwall.model.DataCentre
 import bergamotwall.model.DocumentProblem
 import bergamotwall.model.LOG_LEVELS
+import bergamotwall.model.NetworkAddress
 import bergamotwall.model.NodeId
 import bergamotwall.model.isAddress
 import kotlinx.serialization.Serializable
@@ -50,8 +51,7 @@
 ) {
     /** [relayAddress], or its default. */
     public val relayAddressOrDefault: String
-        get() = relayAddress
-            ?: "${peerAddress.substringBeforeLast(':')}:${peerAddress.substringAfterLast(':').toInt() + 1}"
+        get() = relayAddress ?: requireNotNull(NetworkAddress.of(peerAddress).nextPort()) { peerAddress }.toString()
 }
 
 /** Timing of the watches on the key-value service. */
@@ -108,6 +108,12 @@
     addresses.forEach { (field, address) ->
         check(isAddress(address), field, "is not host:port", "use for example 10.0.0.5:8080")
     }
+    check(
+        settings.relayAddress != null || NetworkAddress.parse(settings.peerAddress)?.nextPort() != null,
+        "relayAddress",
+        "is missing, and peerAddress has no next port",
+        "name a relayAddress",
+    )
     check(settings.ioThreads in 1..MAX_THREADS, "ioThreads", "is not 1 to $MAX_THREADS", "use the number of processors")
     check(settings.leaseTtlSeconds >= MIN_LEASE_SECONDS, "leaseTtlSeconds", "is below 2", "use 2 or more")
     check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -3,15 +3,16 @@
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
+import bergamotwall.gateway.store.DecodedEntries
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.PrefixWatcher
 import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.store.WatchTiming
+import bergamotwall.gateway.store.decodeDocument
 import bergamotwall.gateway.targets.TargetDependencies
-import bergamotwall.model.Jsons
+import bergamotwall.model.isAddress
 import bergamotwall.runtime.LeadershipKeys
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
 import java.util.concurrent.atomic.AtomicLong
 
@@ -28,6 +29,12 @@
 ) {
     private val watchSettings = settings.follow
     private val gatewayState = targets.gatewayState
+    private val members = DecodedEntries { entry ->
+        decodeDocument(GatewayMember.serializer(), entry) { member ->
+            val addresses = listOfNotNull(member.peerAddress, member.frontAddress, member.relayAddress)
+            if (addresses.all { isAddress(it) }) null else "an address is not host:port"
+        }
+    }
     private val operatorWatcher =
         watcher(
             drivers.documents.operatorPrefix,
@@ -132,7 +139,7 @@
     }
 
     private fun onMembersChanged(entries: Map<String, KeyValueEntry>) {
-        val list = entries.filterKeys { it.startsWith(GatewayKeys.MEMBERS) }.values.mapNotNull { memberOf(it) }
+        val list = members.of(entries.filterKeys { it.startsWith(GatewayKeys.MEMBERS) }).values
         val previous = gatewayState.members.read().members
         gatewayState.members.update { MemberList(list.associateBy { it.id }) }
         onLiveEntries(entries)
@@ -149,14 +156,6 @@
         if (list.toSet() != previous.values.toSet()) onChange(WatchedSection.MEMBERS)
     }
 
-    private fun memberOf(entry: KeyValueEntry): GatewayMember? =
-        try {
-            Jsons.wire.decodeFromString(GatewayMember.serializer(), entry.value)
-        } catch (e: SerializationException) {
-            Logger.warn("event=registration_unreadable key={} cause=\"{}\"", entry.key, e.message)
-            null
-        }
-
     private companion object {
         /** Processes that lost power at the same time restart within about a second of each other. */
         private const val HEAD_START_MILLIS = 1_000L
--- a/gateway/src/main/kotlin/bergamotwall/gateway/crashes/SharedCrashGuard.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/crashes/SharedCrashGuard.kt
@@ -8,19 +8,19 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.Write
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.store.decodeDocument
 import bergamotwall.gateway.targets.Target
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.Jsons
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.AtomicSnapshot
 import bergamotwall.runtime.Decision
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
 import java.util.concurrent.ConcurrentHashMap
 
@@ -103,7 +103,7 @@
         val stored = HashMap<InterruptionKey, Long?>()
         entries.values.filter { it.key.startsWith(GatewayKeys.CRASHES) }.forEach { entry ->
             val key = GatewayKeys.interruptionKeyOf(entry.key)
-            val value = storedInterruptionOf(entry)
+            val value = decodeDocument(StoredInterruption.serializer(), entry)
             if (key != null && value != null) stored[key] = value.targetStartedAtMillis
         }
         val nowMillis = clock.monotonicMillis()
@@ -120,7 +120,7 @@
 
     /** Starts to share interruptions and to review them in [scope]. */
     fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("crashes") {
             while (true) {
                 val idle = quarantine.read().table.entries.isEmpty()
                 if (idle) wake.receive() else withTimeoutOrNull(PERIOD_MILLIS) { wake.receive() }
@@ -194,12 +194,3 @@
         private const val MAX_WRITES = 32
     }
 }
-
-/** Interruption stored in [entry], or null if it can't be read. */
-private fun storedInterruptionOf(entry: KeyValueEntry): StoredInterruption? =
-    try {
-        Jsons.wire.decodeFromString(StoredInterruption.serializer(), entry.value)
-    } catch (e: SerializationException) {
-        Logger.warn("event=interruption_unreadable key={} cause=\"{}\"", entry.key, e.message)
-        null
-    }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.model.NetworkAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -98,10 +99,10 @@
         address: String,
         onDone: (TargetConnection?, Throwable?) -> Unit,
     ) {
+        val parsed = NetworkAddress.parse(address)
+        if (parsed == null) return onDone(null, IllegalArgumentException("not an address: $address"))
         opened.incrementAndGet()
-        val host = address.substringBeforeLast(':')
-        val port = address.substringAfterLast(':').toInt()
-        from.connect(host, port).addListener { future ->
+        from.connect(parsed.host, parsed.port).addListener { future ->
             if (future.isSuccess) {
                 val channel = (future as ChannelFuture).channel()
                 onDone(TargetConnection(channel, limits, poolOf(address)::add), null)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/limits/LimitPublisher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/limits/LimitPublisher.kt
@@ -5,15 +5,15 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.Write
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.store.decodeDocument
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.Jsons
 import bergamotwall.model.TargetId
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.abs
@@ -34,7 +34,10 @@
     public fun onStoreChanged(entries: Map<String, KeyValueEntry>) {
         val current = HashMap<TargetId, Double>()
         entries.values.filter { it.key.startsWith(GatewayKeys.LIMITS) }.forEach { entry ->
-            sharedLimitOf(entry)?.let { current[TargetId(entry.key.removePrefix(GatewayKeys.LIMITS))] = it.perSecond }
+            decodeDocument(
+                SharedLimit.serializer(),
+                entry
+            )?.let { current[TargetId(entry.key.removePrefix(GatewayKeys.LIMITS))] = it.perSecond }
         }
         val changed = (current.keys + shared.keys).filter { current[it] != shared[it] }
         shared.putAll(current)
@@ -45,7 +48,7 @@
 
     /** Starts to publish in [scope]. */
     public fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("limits") {
             while (true) {
                 // Random, so that one of the processes that learn of a limit at the same time publishes it first.
                 delay(dependencies.random.nextLong(MIN_PERIOD_MILLIS, MAX_PERIOD_MILLIS))
@@ -115,12 +118,3 @@
         private const val TOLERANCE = 0.1
     }
 }
-
-/** Limit stored in [entry], or null if it can't be read. */
-private fun sharedLimitOf(entry: KeyValueEntry): SharedLimit? =
-    try {
-        Jsons.wire.decodeFromString(SharedLimit.serializer(), entry.value)
-    } catch (e: SerializationException) {
-        Logger.warn("event=limit_unreadable key={} cause=\"{}\"", entry.key, e.message)
-        null
-    }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/Evacuation.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/Evacuation.kt
@@ -8,11 +8,11 @@
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Journal
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 
@@ -42,7 +42,7 @@
 
     /** Starts evacuations in [scope], which must be confined to one thread. */
     public fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("evacuation") {
             while (true) {
                 if (step()) withTimeoutOrNull(RECHECK_MILLIS) { changes.receive() } else changes.receive()
             }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
@@ -8,13 +8,13 @@
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.model.Jsons
 import bergamotwall.runtime.Clock
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 
@@ -41,7 +41,7 @@
 
     /** Starts to register and to renew the registration in [scope]. */
     public fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("registration") {
             while (!ended) {
                 step()
                 val pauseMillis = if (lease == null) RETRY_MILLIS else ttlSeconds * MILLIS_PER_SECOND / RENEWALS_PER_TTL
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/PathChecks.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/PathChecks.kt
@@ -3,6 +3,7 @@
 import bergamotwall.gateway.http.ConnectOutcome
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.runtime.Clock
+import bergamotwall.runtime.launchSupervised
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -32,7 +33,7 @@
 
     /** Starts to check paths in [scope]. */
     fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("paths") {
             var reconnectAtMillis = 0L
             while (true) {
                 delay(PERIOD_MILLIS)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -8,11 +8,11 @@
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Clock
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.tinylog.Logger
 
 /**
@@ -42,7 +42,9 @@
 
     /** Starts to watch in [scope]. */
     public fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("watch $prefix") {
+            // After an error, a change may have been passed on in part only.
+            revision = null
             while (true) {
                 val currentRevision = revision
                 if (currentRevision == null) list() else poll(currentRevision)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
@@ -6,6 +6,7 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.Write
 import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.gateway.store.decodeDocument
 import bergamotwall.gateway.targets.Target
 import bergamotwall.model.Jsons
 import bergamotwall.model.ServiceName
@@ -13,7 +14,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.MapSerializer
 import kotlinx.serialization.builtins.nullable
 import kotlinx.serialization.builtins.serializer
@@ -113,12 +113,10 @@
             .flatMapTo(HashSet()) { route -> route.shares.map { it.service } }
 
     private fun historyOf(entry: KeyValueEntry): VersionHistory? =
-        try {
-            VersionHistory(Jsons.wire.decodeFromString(serializer, entry.value).mapKeys { SoftwareVersion(it.key) })
-        } catch (e: SerializationException) {
-            Logger.warn("event=software_versions_unreadable key={} cause=\"{}\"", entry.key, e.message)
-            null
-        }
+        decodeDocument(
+            serializer,
+            entry
+        )?.let { history -> VersionHistory(history.mapKeys { SoftwareVersion(it.key) }) }
 
     private companion object {
         private val serializer = MapSerializer(String.serializer(), kotlin.Long.serializer().nullable)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/SharedStreamOrigins.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/SharedStreamOrigins.kt
@@ -1,10 +1,11 @@
 package bergamotwall.gateway.streams
 
 import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.gateway.store.decodeDocument
 import bergamotwall.gateway.targets.Target
-import bergamotwall.model.Jsons
 import bergamotwall.model.RequestId
 import bergamotwall.model.ServiceName
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.CoroutineScope
@@ -13,7 +14,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
 
 /**
@@ -77,7 +77,7 @@
 
     /** Starts to publish in [scope] what other processes need to know. */
     fun start(scope: CoroutineScope): Job =
-        scope.launch {
+        scope.launchSupervised("streams") {
             launch {
                 while (true) {
                     withTimeoutOrNull(PUBLISH_MILLIS) { changes.receive() }
@@ -114,7 +114,7 @@
         dependencies.store.get(StreamKeys.origin(first)).fold(
             success = { entry ->
                 if (entry != null) resumed.labelValues("record").inc()
-                if (entry == null) soleOrigin(services) else originOf(entry)
+                if (entry == null) soleOrigin(services) else decodeDocument(StreamOrigin.serializer(), entry)
             },
             failure = {
                 Logger.warn("event=stream_origin_unknown request={} cause=\"{}\"", first.value, it.detail)
@@ -141,12 +141,3 @@
         private const val RETRY_MILLIS = 200L
     }
 }
-
-/** Origin stored in [entry], or null if it can't be read. */
-private fun originOf(entry: KeyValueEntry): StreamOrigin? =
-    try {
-        Jsons.wire.decodeFromString(StreamOrigin.serializer(), entry.value)
-    } catch (e: SerializationException) {
-        Logger.warn("event=stream_origin_unreadable key={} cause=\"{}\"", entry.key, e.message)
-        null
-    }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -14,6 +14,7 @@
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.Journal
 import bergamotwall.runtime.Leadership
+import bergamotwall.runtime.launchSupervised
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -70,7 +71,7 @@
         hasPaths: () -> Boolean = { true },
         eligible: () -> Boolean,
     ): Job =
-        scope.launch {
+        scope.launchSupervised("weights") {
             while (true) {
                 step(this, eligible(), hasPaths())
                 delay(settings.periodMillis)
--- /dev/null
+++ b/model/src/main/kotlin/bergamotwall/model/NetworkAddress.kt
@@ -0,0 +1,33 @@
+package bergamotwall.model
+
+import java.net.InetSocketAddress
+
+/** Address of a process: [host], and [port] from 1 to 65,535. Created by [NetworkAddress.parse]. */
+public class NetworkAddress private constructor(public val host: String, public val port: Int) {
+    /** The address for sockets; resolves [host] if it is a name. */
+    public fun toSocketAddress(): InetSocketAddress = InetSocketAddress(host, port)
+
+    /** The address of the same host with the next port, or null if there is none. */
+    public fun nextPort(): NetworkAddress? = if (port < MAX_PORT) NetworkAddress(host, port + 1) else null
+
+    override fun toString(): String = "$host:$port"
+
+    /** Conversion from text. */
+    public companion object {
+        private const val MAX_PORT = 65_535
+        private val HOST = Regex("[A-Za-z0-9._:\\[\\]-]+")
+
+        /** The address whose text is [text], `host:port`, or null if it is none. */
+        public fun parse(text: String): NetworkAddress? {
+            val host = text.substringBeforeLast(':', "")
+            val digits = text.substringAfterLast(':', "")
+            val port = if (digits.all { it in '0'..'9' }) digits.toIntOrNull() else null
+            return if (port == null || port !in 1..MAX_PORT || !HOST.matches(host)) null else NetworkAddress(host, port)
+        }
+
+        /**
+         * The address whose text is [text]; fails if it is none. For settings, which are checked when they are read.
+         */
+        public fun of(text: String): NetworkAddress = requireNotNull(parse(text)) { "not host:port: $text" }
+    }
+}
--- a/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
@@ -1,5 +1,6 @@
 package bergamotwall.peers
 
+import bergamotwall.model.NetworkAddress
 import bergamotwall.model.PeerMessage
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -90,9 +91,8 @@
     }
 
     private suspend fun open(address: String): Connection {
-        val host = address.substringBeforeLast(':')
-        val port = address.substringAfterLast(':').toInt()
-        val socket = aSocket(selector).tcp().connect(InetSocketAddress(host, port)) { noDelay = true }
+        val remote = NetworkAddress.of(address)
+        val socket = aSocket(selector).tcp().connect(InetSocketAddress(remote.host, remote.port)) { noDelay = true }
         return Connection(socket, scope, sentBytes) { connections.remove(address) }
     }
 }
--- a/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
@@ -14,11 +14,13 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.serialization.SerializationException
 import org.tinylog.Logger
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicLong
 
 /** Accepts connections of other processes and serves their requests. */
@@ -41,6 +43,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val server =
         runBlocking {
+            // Port 0 binds any free port, so this is not a NetworkAddress.
             val local = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
             aSocket(selector).tcp().bind(local) { reuseAddress = true }
         }
@@ -54,8 +57,8 @@
     init {
         scope.launch {
             while (true) {
-                val socket = server.accept()
-                scope.launch { serveUntilClosed(socket) }
+                val socket = acceptOrNull()
+                if (socket == null) delay(ACCEPT_RETRY_MILLIS) else scope.launch { serveUntilClosed(socket) }
             }
         }
     }
@@ -66,6 +69,15 @@
         selector.close()
     }
 
+    /** The next connection, or null if accepting it failed, for example because no descriptor is free. */
+    private suspend fun acceptOrNull(): Socket? =
+        try {
+            server.accept()
+        } catch (e: IOException) {
+            Logger.warn("connection of a peer not accepted: {}", e.message)
+            null
+        }
+
     private suspend fun serveUntilClosed(socket: Socket) {
         try {
             serve(socket)
@@ -118,6 +130,9 @@
 
     private companion object {
         private const val OUTGOING_FRAMES = 1_024
+
+        /** Descriptors become free as other connections end. */
+        private const val ACCEPT_RETRY_MILLIS = 100L
         private const val MAX_IN_FLIGHT = 4_096
     }
 }
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Node.kt
@@ -6,6 +6,7 @@
 import bergamotwall.model.IndirectProbe
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
+import bergamotwall.model.NetworkAddress
 import bergamotwall.model.NodeId
 import bergamotwall.model.NodeRole
 import bergamotwall.model.PeerMessage
@@ -28,7 +29,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.tinylog.Logger
-import java.net.InetSocketAddress
 import java.time.Duration
 import kotlin.random.Random
 
@@ -136,12 +136,10 @@
         }
 
     private fun httpServer(routes: (ServerBuilder) -> Unit): Server {
-        val host = settings.httpAddress.substringBeforeLast(':')
-        val port = settings.httpAddress.substringAfterLast(':').toInt()
         val builder =
             Server
                 .builder()
-                .http(InetSocketAddress(host, port))
+                .http(NetworkAddress.of(settings.httpAddress).toSocketAddress())
                 .maxRequestLength(settings.maxBodyBytes)
                 .requestTimeoutMillis(0)
                 .gracefulShutdownTimeout(Duration.ofMillis(QUIET_PERIOD_MILLIS), Duration.ofMillis(MAX_DRAIN_MILLIS))
