--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -40,6 +40,7 @@
 import bergamotwall.runtime.Leadership
 import bergamotwall.runtime.LeadershipDependencies
 import bergamotwall.runtime.LeadershipKeys
+import bergamotwall.runtime.supervisedFailures
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -152,7 +153,12 @@
 
     /** Accepts and runs batches. */
     public val batches: Batches =
-        Batches(BatchDependencies(::self, store, drivers.peers, targetDependencies), settings.batches, scope, eventLoop)
+        Batches(
+            BatchDependencies(::self, store, drivers.peers, targetDependencies, forwarder),
+            settings.batches,
+            scope,
+            eventLoop,
+        )
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
     private val watches: StoreWatches = StoreWatches(
         settings,
@@ -204,6 +210,10 @@
         metrics.gauge("configuration_age_seconds", "Time since the configuration was last known to be the newest.") {
             (configurationAgeMillis() ?: (drivers.clock.monotonicMillis() - startedAtMillis)) / MILLIS_PER_SECOND
         }
+        metrics.gauge(
+            "loop_failures",
+            "Unexpected errors of loops since the start; each was resumed."
+        ) { supervisedFailures }
         metrics.gauge("ready", "1 if the process takes work.") { if (ready) 1 else 0 }
         metrics.gauge("connections_opened", "Connections to targets opened since the start.") {
             drivers.client.connectionsOpened
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
@@ -70,7 +70,8 @@
             .register(metrics.registry)
     }
 
-    private fun histogram(
+    /** Registers the histogram [name] of seconds with [labels]. */
+    public fun histogram(
         name: String,
         help: String,
         vararg labels: String,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
@@ -29,7 +29,7 @@
         val chunks = Jsons.wire.encodeToString(BatchRecord.serializer(), record).chunked(chunkChars)
         val puts = chunks.mapIndexed { index, chunk ->
             Write.Put(
-                GatewayKeys.itemChunk(record.id, ownership.nonce, index),
+                GatewayKeys.chunk(GatewayKeys.items(record.id, ownership.nonce), index),
                 chunk
             )
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.gateway.rewards.RewardSettings
 import kotlinx.serialization.Serializable
 
 /** Limits for running batches; times in milliseconds, sizes in characters. */
@@ -38,4 +39,5 @@
     val handOverMillis: Long = 250,
     /** Longest wait for the response of a batch's owner, after which the key-value service is read instead. */
     val peerTimeoutMillis: Long = 700,
+    val rewards: RewardSettings = RewardSettings(),
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
@@ -8,32 +8,43 @@
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.store.decodeDocument
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.ItemResult
 import bergamotwall.model.Jsons
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
 import kotlinx.serialization.builtins.ListSerializer
 
 /**
- * Reads and updates batches in the key-value service. A batch consists of item chunks, result chunks and one ownership
- * record that fences writes of both.
+ * Reads and updates batches in the key-value service. A batch consists of item chunks, result chunks, chunks of texts
+ * that wait for their scores, and one ownership record that fences writes of all.
  *
  * Guarantees: a batch exists once its ownership record does; results are appended only under the current revision of
- * the ownership record, and each position is written once.
+ * the ownership record, and each position and each number of a text is written once.
  */
 internal class BatchStore(private val store: KeyValueStore) {
     /** Reads the ownership record of [batch], null if there is none. */
     suspend fun ownership(batch: BatchId): Result<OwnershipRecord?, KeyValueError> =
-        store.get(GatewayKeys.batch(batch)).map { entry -> entry?.let { ownershipRecordOf(it) } }
+        store.get(GatewayKeys.batch(batch)).andThen { entry ->
+            val record = entry?.let { ownershipRecordOf(it) }
+            if (entry != null && record == null) Err(unreadable(entry.key)) else Ok(record)
+        }
 
-    /** Reads the ownership records of all batches. */
+    /** Reads the ownership records of all batches, but for those that can't be read. */
     suspend fun ownerships(): Result<Map<BatchId, OwnershipRecord>, KeyValueError> =
         store.list(GatewayKeys.BATCHES).map { listing ->
-            listing.entries.associate { BatchId(it.key.removePrefix(GatewayKeys.BATCHES)) to ownershipRecordOf(it) }
+            val records = HashMap<BatchId, OwnershipRecord>()
+            listing.entries.forEach { entry ->
+                ownershipRecordOf(entry)?.let { records[BatchId(entry.key.removePrefix(GatewayKeys.BATCHES))] = it }
+            }
+            records
         }
 
     /** Replaces the ownership record of [batch] by [next] if it still has [revision]. */
@@ -47,22 +58,39 @@
         return store.commit(Transaction(listOf(Condition.Unchanged(key, revision)), listOf(put)))
     }
 
-    /** Appends [results] as a chunk at [position] if the ownership record still has [revision]. */
+    /** Appends the chunks of [append] in one call if the ownership record still has [revision]. */
     suspend fun append(
         batch: BatchId,
         revision: Long,
-        position: Int,
-        results: List<ItemResult>,
+        append: ResultAppend,
     ): AppendOutcome {
-        val key = GatewayKeys.resultChunk(batch, position)
-        val text = Jsons.wire.encodeToString(ListSerializer(ItemResult.serializer()), results)
-        val conditions = listOf(Condition.Unchanged(GatewayKeys.batch(batch), revision), Condition.Absent(key))
-        return store.commit(Transaction(conditions, listOf(Write.Put(key, text)))).fold(
-            success = { if (it is TransactionOutcome.Committed) AppendOutcome.APPENDED else compareStored(key, text) },
+        val puts =
+            listOfNotNull(
+                putOf(GatewayKeys.chunk(GatewayKeys.results(batch), append.position), append.results),
+                putOf(GatewayKeys.chunk(GatewayKeys.texts(batch), append.textNumber), append.texts),
+            )
+        val conditions =
+            listOf(Condition.Unchanged(GatewayKeys.batch(batch), revision)) + puts.map { Condition.Absent(it.key) }
+        return store.commit(Transaction(conditions, puts)).fold(
+            success = {
+                if (it is TransactionOutcome.Committed) {
+                    AppendOutcome.APPENDED
+                } else {
+                    compareStored(
+                        puts.first()
+                    )
+                }
+            },
             failure = { AppendOutcome.UNKNOWN },
         )
     }
 
+    private fun putOf(
+        key: String,
+        chunk: List<ItemResult>,
+    ): Write.Put? =
+        if (chunk.isEmpty()) null else Write.Put(key, Jsons.wire.encodeToString(CHUNK_SERIALIZER, chunk))
+
     /** Reads the items of [batch], which are stored under the nonce of [ownership]. */
     suspend fun items(
         batch: BatchId,
@@ -74,23 +102,29 @@
         }
 
     /** Reads the results of [batch] in the order of their positions. */
-    suspend fun results(batch: BatchId): Result<List<ItemResult>, KeyValueError> =
-        store.list(GatewayKeys.results(batch)).map { listing ->
-            listing.entries.sortedBy { it.key }.flatMap { resultsOf(it) }
+    suspend fun results(batch: BatchId): Result<List<ItemResult>, KeyValueError> = chunks(GatewayKeys.results(batch))
+
+    /** Reads the texts of [batch] that were stored before they were scored, in the order in which they were stored. */
+    suspend fun texts(batch: BatchId): Result<List<ItemResult>, KeyValueError> = chunks(GatewayKeys.texts(batch))
+
+    private suspend fun chunks(prefix: String): Result<List<ItemResult>, KeyValueError> =
+        store.list(prefix).map { listing ->
+            listing.entries.sortedBy { it.key }.flatMap { Jsons.wire.decodeFromString(CHUNK_SERIALIZER, it.value) }
         }
 
     /**
-     * Resolves a declined append. If the chunk at [key] equals [text], an earlier call of ours wrote it and its
-     * response was lost.
+     * Resolves a declined append whose first chunk is [put]. If that is stored, an earlier call of ours wrote all of
+     * the append and its response was lost.
      */
-    private suspend fun compareStored(
-        key: String,
-        text: String,
-    ): AppendOutcome =
-        store.get(key).fold(
-            success = { if (it?.value == text) AppendOutcome.APPENDED else AppendOutcome.FENCED },
+    private suspend fun compareStored(put: Write.Put): AppendOutcome =
+        store.get(put.key).fold(
+            success = { if (it?.value == put.value) AppendOutcome.APPENDED else AppendOutcome.FENCED },
             failure = { AppendOutcome.UNKNOWN },
         )
+
+    private companion object {
+        private val CHUNK_SERIALIZER = ListSerializer(ItemResult.serializer())
+    }
 }
 
 /** The stored [ownership] of a batch and the [revision] of its last write. */
@@ -111,8 +145,8 @@
     UNKNOWN,
 }
 
-internal fun ownershipRecordOf(entry: KeyValueEntry): OwnershipRecord =
-    OwnershipRecord(Jsons.wire.decodeFromString(BatchOwnership.serializer(), entry.value), entry.modRevision)
+/** The ownership record in [entry], or null if it can't be read. */
+internal fun ownershipRecordOf(entry: KeyValueEntry): OwnershipRecord? =
+    decodeDocument(BatchOwnership.serializer(), entry)?.let { OwnershipRecord(it, entry.modRevision) }
 
-private fun resultsOf(entry: KeyValueEntry): List<ItemResult> =
-    Jsons.wire.decodeFromString(ListSerializer(ItemResult.serializer()), entry.value)
+private fun unreadable(key: String) = KeyValueError.Rejected("$key can't be read")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -1,7 +1,10 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.drivers.KeyValueStore
+import bergamotwall.gateway.forwarding.RequestForwarder
 import bergamotwall.gateway.members.GatewayMember
+import bergamotwall.gateway.rewards.RewardCaller
+import bergamotwall.gateway.rewards.RewardDispatcher
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchId
@@ -19,12 +22,16 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withContext
 
-/** Dependencies of [Batches]; [shared] holds those that it has in common with other code that sends to targets. */
+/**
+ * Dependencies of [Batches]; [shared] holds those that it has in common with other code that sends to targets.
+ * [forwarder] sends reward calls.
+ */
 public data class BatchDependencies(
     public val self: () -> GatewayMember,
     public val store: KeyValueStore,
     public val peers: PeerClient,
     public val shared: TargetDependencies,
+    public val forwarder: RequestForwarder,
 )
 
 /**
@@ -42,9 +49,17 @@
     private val runner = ItemRunner(dependencies.shared, settings.silenceMillis)
     private val loopScope = CoroutineScope(scope.coroutineContext + loop)
     internal val ownedBatches =
-        OwnedBatches(loopScope, store, dependencies.shared, settings) { onItemDone ->
-            ItemDispatcher(loopScope, dependencies.shared, runner, onItemDone)
-        }
+        OwnedBatches(
+            loopScope,
+            store,
+            dependencies.shared,
+            settings,
+            { onItemEnded -> ItemDispatcher(loopScope, dependencies.shared, runner, onItemEnded) },
+            { onItemDone ->
+                val caller = RewardCaller(dependencies.forwarder, dependencies.shared)
+                RewardDispatcher(loopScope, dependencies.shared, caller, settings.rewards, onItemDone)
+            },
+        )
     private val remoteBatches = RemoteBatches(dependencies, store, settings.pageChars)
     private val localSubmissions: LocalSubmissions =
         LocalSubmissions(loopScope, dependencies, settings, ownedBatches, remoteBatches) {
@@ -128,7 +143,7 @@
     public suspend fun release(): Unit =
         withContext(loop) {
             localSubmissions.awaitCompletion()
-            ownedBatches.active().forEach { ownedBatches.relinquish(it, "this process releases its batches") }
+            ownedBatches.active.forEach { ownedBatches.relinquish(it, "this process releases its batches") }
         }
 
     private fun newRetrySchedule() =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -9,6 +9,7 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.Decision
+import bergamotwall.runtime.launchSupervised
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -17,20 +18,20 @@
 import org.tinylog.Logger
 
 /**
- * Sends the items of all owned batches to targets as slots become free. [onItemDone] is called with the batch of each
- * item that is done. Confined to the batch loop.
+ * Sends the items of all owned batches to targets as slots become free. [onItemEnded] is called with the batch of each
+ * item whose text is complete or that failed. Confined to the batch loop.
  */
 internal class ItemDispatcher(
     private val scope: CoroutineScope,
     private val dependencies: TargetDependencies,
     private val runner: ItemRunner,
-    private val onItemDone: (OwnedBatch) -> Unit,
+    private val onItemEnded: (OwnedBatch) -> Unit,
 ) {
     private val batches = ArrayList<OwnedBatch>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
 
     init {
-        scope.launch {
+        scope.launchSupervised("items") {
             while (true) {
                 dispatchWaitingItems()
                 if (batches.isEmpty()) wake.receive() else withTimeoutOrNull(RECHECK_PERIOD_MILLIS) { wake.receive() }
@@ -103,13 +104,12 @@
         recordAttempt(dispatched, target, outcome)
         if (!batch.active) return
         when (outcome) {
-            ItemOutcome.Whole -> batch.complete(item, failed = false)
-            ItemOutcome.Impossible -> batch.complete(item, failed = true)
+            ItemOutcome.Whole -> batch.generated(item)
+            ItemOutcome.Impossible -> batch.fail(item)
             ItemOutcome.ErrorAnswer -> {
                 item.errorResponses++
                 item.discardText()
-                if (item.errorResponses >= batch.route.maxAttempts) batch.complete(item, failed = true)
-                retryLater(item, target)
+                if (item.errorResponses >= batch.route.maxAttempts) batch.fail(item) else retryLater(item, target)
             }
             is ItemOutcome.NotRun -> retryLater(item, target, outcome.full)
             is ItemOutcome.Broken -> retryLater(item, target)
@@ -120,7 +120,7 @@
             }
             ItemOutcome.Cancelled -> Unit
         }
-        if (item.done) onItemDone(batch)
+        if (item.phase != ItemPhase.Generating) onItemEnded(batch)
     }
 
     private fun retryLater(
@@ -142,7 +142,7 @@
         nowMillis: Long,
     ): List<DispatchableItem> =
         batch.items.values
-            .filter { !it.done && !it.running && it.notBeforeMillis <= nowMillis }
+            .filter { it.phase == ItemPhase.Generating && !it.running && it.notBeforeMillis <= nowMillis }
             .map { DispatchableItem(batch, it) }
 
     private fun recordAttempt(
@@ -175,7 +175,7 @@
             val group = item.spec.group
             return WaitingItem(
                 ticket = ticket,
-                dueAtMillis = batch.acceptedAtMillis + (batch.route.batch?.runTargetMillis ?: 0),
+                dueAtMillis = batch.dueAtMillis,
                 groupOrder = batch.groupOrder.getValue(group),
                 expectedTokens = item.spec.tokens,
                 eligible = targets.filter { allows(it) }.mapTo(HashSet()) { it.id },
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.gateway.http.TargetExchange
+import bergamotwall.gateway.rewards.RewardState
 import bergamotwall.gateway.targets.Target
 import bergamotwall.model.ItemResult
 import bergamotwall.model.ItemSpec
@@ -30,7 +31,16 @@
     /** Attempts that failed, not counting those that a full target refused. */
     var failures = 0
     var running = false
-    var done = false
+
+    /** How far the item has come. */
+    var phase: ItemPhase = ItemPhase.Generating
+
+    /** State of the item's reward call, null if it has none. */
+    val reward: RewardState? = spec.reward?.let { RewardState(it) }
+
+    /** Whether the item's result is known. */
+    val done: Boolean get() = phase == ItemPhase.Done
+
     var notBeforeMillis = 0L
 
     /** When the item was sent last, on the monotonic clock. */
@@ -83,10 +93,6 @@
         softwareVersion = null
     }
 
-    fun result(failed: Boolean): ItemResult =
-        if (failed) {
-            ItemResult(spec.id, true, "", emptyList())
-        } else {
-            ItemResult(spec.id, false, eventData.joinToString("\n"), versions.sorted())
-        }
+    /** The complete text, without a score. */
+    fun text(): ItemResult = ItemResult(spec.id, false, eventData.joinToString("\n"), versions.sorted())
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -8,12 +8,12 @@
 import bergamotwall.model.CheckAlive
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Decision
+import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 
@@ -43,7 +43,7 @@
     private val unroutable = HashSet<BatchId>()
 
     init {
-        scope.launch {
+        scope.launchSupervised("orphans") {
             while (true) {
                 if (search()) {
                     withTimeoutOrNull(RECHECK_PERIOD_MILLIS) { searchRequests.receive() }
@@ -166,20 +166,23 @@
     ): Boolean {
         val record = store.items(id, claimed.ownership).get()
         val results = store.results(id).get()
+        val texts = if (record?.items.orEmpty().any { it.reward != null }) store.texts(id).get() else emptyList()
         val route = record?.let { dependencies.shared.gatewayState.routes.read().find(it.host, it.path) }
         if (record != null && route == null) {
             Logger.warn("event=batch_without_route batch={} path={}", id.value, record.path)
             unroutable += id
         }
-        if (record == null || results == null || route == null) return false
-        ownedBatches.add(OwnedBatch(record, claimed, route, dependencies.shared.clock.monotonicMillis(), results))
+        val storedItems = if (results == null || texts == null) null else results to texts
+        if (record == null || route == null || storedItems == null) return false
+        val nowMillis = dependencies.shared.clock.monotonicMillis()
+        ownedBatches.add(OwnedBatch(record, claimed, route, nowMillis, storedItems.first, storedItems.second))
         dependencies.shared.journal.record(
             Decision(
                 "batch/${id.value}",
                 "adopted",
                 "its owner is not registered and does not respond",
                 "owner ${stored.ownership.owner.value}",
-                "${results.size} of ${record.items.size} results stored",
+                "results stored: ${storedItems.first.size} of ${record.items.size}, texts: ${storedItems.second.size}",
             ),
         )
         return true
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -16,7 +16,7 @@
  * durably. Confined to the batch loop.
  *
  * [acceptedAtMillis] is on the monotonic clock; for an adopted batch it is the time of adoption. [stored] holds the
- * results that earlier owners stored.
+ * results that earlier owners stored, [storedTexts] the texts that they stored for scoring.
  */
 internal class OwnedBatch(
     val record: BatchRecord,
@@ -24,17 +24,15 @@
     var route: Route,
     val acceptedAtMillis: Long,
     stored: List<ItemResult>,
+    storedTexts: List<ItemResult> = emptyList(),
 ) {
     private val results = ArrayList(stored)
     private val pending = ArrayDeque<ItemResult>()
+    private val pendingForScoring = ArrayDeque<ItemResult>()
     private val storedCount = MutableStateFlow(stored.size)
-    private val storedIds = stored.mapTo(HashSet()) { it.item }
 
     /** Items by id, in the order of the batch. */
-    val items: Map<ItemId, ItemState> =
-        record.items.associate { spec ->
-            spec.id to ItemState(spec).also { it.done = spec.id in storedIds }
-        }
+    val items: Map<ItemId, ItemState> = record.items.associate { it.id to ItemState(it) }
 
     /** Position of each group in the batch. */
     val groupOrder: Map<String, Int> =
@@ -55,6 +53,9 @@
     /** Whether items may still be sent. */
     val active: Boolean get() = !ended && !relinquished
 
+    /** When all results are due, on the monotonic clock. */
+    val dueAtMillis: Long get() = acceptedAtMillis + (route.batch?.runTargetMillis ?: 0)
+
     /** Number of items that are not done. */
     val unfinished: Int get() = items.values.count { !it.done }
 
@@ -64,11 +65,27 @@
      */
     var appendUnresolved = false
 
+    /** Number of texts that were stored durably before they were scored. */
+    var storedTextCount: Int = storedTexts.size
+        private set
+
+    init {
+        storedTexts.forEach { text -> items[text.item]?.phase = ItemPhase.AwaitingScore(text) }
+        stored.forEach { result -> items[result.item]?.phase = ItemPhase.Done }
+    }
+
     /** Number of results that are stored durably. */
     val storedResultCount: Int get() = results.size
 
     /** Results that wait to be stored durably. */
-    val pendingResults: List<ItemResult> get() = pending.toList()
+    val pendingResults: List<ItemResult> get() = pending
+
+    /** Texts that wait to be stored durably, so that they can be scored. */
+    val pendingTexts: List<ItemResult> get() = pendingForScoring
+
+    /** Number of items of [group] whose texts are not complete. */
+    fun ungenerated(group: String): Int =
+        items.values.count { it.spec.group == group && it.phase == ItemPhase.Generating }
 
     /**
      * Whether the batch allows weight [version] for [item]: not older than its minimum and, if its route requires a
@@ -82,18 +99,47 @@
         return version >= record.minVersion && (!single || item.versions().all { it == version })
     }
 
-    /** Marks [item] as done. Readers see its result once it is stored durably. */
-    fun complete(
+    /** Marks the text of [item] as complete. If it has a reward call, the text is to be stored and then scored. */
+    fun generated(item: ItemState) {
+        val text = item.text()
+        if (item.reward == null) {
+            complete(item, text)
+        } else {
+            item.phase = ItemPhase.Generated(text)
+            pendingForScoring += text
+        }
+    }
+
+    /** Marks [item] as completed with [score], which its reward call returned for its stored text. */
+    fun scored(
+        item: ItemState,
+        score: String,
+    ) {
+        val phase = item.phase
+        check(phase is ItemPhase.AwaitingScore) { "item ${item.spec.id.value} is not awaiting its score: $phase" }
+        complete(item, phase.text.copy(score = score))
+    }
+
+    /** Marks [item] as errored. */
+    fun fail(item: ItemState): Unit = complete(item, ItemResult(item.spec.id, true, "", emptyList()))
+
+    private fun complete(
         item: ItemState,
-        failed: Boolean,
+        result: ItemResult,
     ) {
-        item.done = true
-        pending += item.result(failed)
+        item.phase = ItemPhase.Done
+        item.discardText()
+        pending += result
     }
 
-    /** Marks the first [count] pending results as stored durably. */
-    fun markStored(count: Int) {
-        repeat(count) { results += pending.removeFirst() }
+    /** Marks [append], the first pending results and texts, as stored durably. */
+    fun markStored(append: ResultAppend) {
+        repeat(append.results.size) { results += pending.removeFirst() }
+        repeat(append.texts.size) {
+            val text = pendingForScoring.removeFirst()
+            items.getValue(text.item).phase = ItemPhase.AwaitingScore(text)
+        }
+        storedTextCount += append.texts.size
         storedCount.value = results.size
     }
 
@@ -139,5 +185,5 @@
     return BatchPage(total, page)
 }
 
-/** Estimate for the id, versions and punctuation of one result in a page. */
-private const val RESULT_OVERHEAD_CHARS = 200
+/** Estimate for the id, versions, score and punctuation of one result. */
+internal const val RESULT_OVERHEAD_CHARS = 200
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.gateway.rewards.RewardDispatcher
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchId
@@ -10,7 +11,8 @@
 import kotlinx.coroutines.CoroutineScope
 
 /**
- * The batches that this process owns: has their items dispatched to targets, and their results and ends stored durably.
+ * The batches that this process owns: has their items dispatched to targets, their texts scored, and their results and
+ * ends stored durably.
  * Confined to the batch loop, on which [scope] runs.
  */
 internal class OwnedBatches(
@@ -19,17 +21,20 @@
     private val dependencies: TargetDependencies,
     private val settings: BatchSettings,
     dispatcherOf: ((OwnedBatch) -> Unit) -> ItemDispatcher,
+    rewardDispatcherOf: ((OwnedBatch) -> Unit) -> RewardDispatcher,
 ) {
     private val batches = HashMap<BatchId, OwnedBatch>()
-    private val resultAppender =
+    private val resultAppender: ResultAppender =
         ResultAppender(
             scope,
             store,
-            settings.gatherMillis,
+            settings,
             { relinquish(it, "another process owns it") },
             ::ownershipChanged,
+            onTextsStored = { rewardDispatcher.wake() },
         )
-    private val dispatcher = dispatcherOf(resultAppender::scheduleAppend)
+    private val dispatcher = dispatcherOf(::itemEnded)
+    private val rewardDispatcher: RewardDispatcher = rewardDispatcherOf(::itemEnded)
 
     /** Returns batch [id] if this process owns it. */
     fun find(id: BatchId): OwnedBatch? = batches[id]?.takeUnless { it.relinquished }
@@ -43,14 +48,22 @@
     /** Starts to run [batch], which this process has created or adopted. */
     fun add(batch: OwnedBatch) {
         batches[batch.record.id] = batch
-        if (batch.active) dispatcher.add(batch)
+        if (!batch.active) return
+        dispatcher.add(batch)
+        if (batch.items.values.any { it.reward != null }) rewardDispatcher.add(batch)
     }
 
+    /** Has the text or result of an item of [batch] stored durably, which has just become known. */
+    fun itemEnded(batch: OwnedBatch): Unit = resultAppender.scheduleAppend(batch)
+
     /** Triggers a dispatch, because something that placement depends on has changed. */
-    fun wake(): Unit = dispatcher.wake()
+    fun wake() {
+        dispatcher.wake()
+        rewardDispatcher.wake()
+    }
 
     /** Batches that have neither ended nor been relinquished. */
-    fun active(): List<OwnedBatch> = batches.values.filter { it.active }
+    val active: List<OwnedBatch> get() = batches.values.filter { it.active }
 
     /** Stops running and serving [batch], because another process may own it from now on. */
     fun relinquish(
@@ -116,6 +129,7 @@
         cause: String,
     ) {
         dispatcher.remove(batch)
+        rewardDispatcher.remove(batch)
         dependencies.journal.record(
             Decision(
                 subject = "batch/${batch.record.id.value}",
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
@@ -1,32 +1,35 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.model.BatchId
+import bergamotwall.model.ItemResult
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
 /**
- * Stores results of owned batches durably, in one call for those that complete within [coalesceMillis]. Calls
- * [onOwnershipLost] if another process owns the batch, and [onRecordChanged] if this process still owns it but the
- * ownership record was changed. Confined to the batch loop, on which [scope] runs.
+ * Stores results of owned batches, and texts that are to be scored, durably, in one call for those that complete within
+ * `gatherMillis`. Calls [onOwnershipLost] if another process owns the batch, [onRecordChanged] if this process still
+ * owns it but the ownership record was changed, and [onTextsStored] when texts may be scored. Confined to the batch
+ * loop, on which [scope] runs.
  */
 internal class ResultAppender(
     private val scope: CoroutineScope,
     private val store: BatchStore,
-    private val coalesceMillis: Long,
+    private val settings: BatchSettings,
     private val onOwnershipLost: (OwnedBatch) -> Unit,
     private val onRecordChanged: (OwnedBatch, OwnershipRecord) -> Unit,
+    private val onTextsStored: () -> Unit = { },
 ) {
     private val appending = HashSet<BatchId>()
 
-    /** Starts to append the pending results of [batch], unless that is already in progress. */
+    /** Starts to append the pending results and texts of [batch], unless that is already in progress. */
     fun scheduleAppend(batch: OwnedBatch) {
         if (!appending.add(batch.record.id)) return
         scope.launch {
             try {
-                while (batch.active && batch.pendingResults.isNotEmpty()) {
-                    delay(coalesceMillis)
+                while (batch.active && (batch.pendingResults.isNotEmpty() || batch.pendingTexts.isNotEmpty())) {
+                    delay(settings.gatherMillis)
                     append(batch)
                 }
             } finally {
@@ -36,18 +39,25 @@
     }
 
     /**
-     * Appends a chunk of pending results. The same chunk is retried until it is known to be stored or the append is
-     * fenced.
+     * Appends a chunk of pending results and one of pending texts. The same chunks are retried until they are known to
+     * be stored or the append is fenced.
      */
     private suspend fun append(batch: OwnedBatch) {
-        val chunk = batch.pendingResults.take(MAX_RESULTS_PER_CHUNK)
+        val append =
+            ResultAppend(
+                position = batch.storedResultCount,
+                results = chunkOf(batch.pendingResults),
+                textNumber = batch.storedTextCount,
+                texts = chunkOf(batch.pendingTexts),
+            )
         var retries = 0
         while (batch.active) {
             batch.appendUnresolved = true
-            when (store.append(batch.record.id, batch.ownershipRecord.revision, batch.storedResultCount, chunk)) {
+            when (store.append(batch.record.id, batch.ownershipRecord.revision, append)) {
                 AppendOutcome.APPENDED -> {
                     batch.appendUnresolved = false
-                    return batch.markStored(chunk.size)
+                    batch.markStored(append)
+                    return if (append.texts.isEmpty()) Unit else onTextsStored()
                 }
                 AppendOutcome.FENCED -> {
                     batch.appendUnresolved = false
@@ -60,6 +70,16 @@
         }
     }
 
+    /** The first of [pending] that fit in one value of the key-value service, but at least one if there is any. */
+    private fun chunkOf(pending: List<ItemResult>): List<ItemResult> {
+        var chars = 0
+        return pending.take(MAX_RESULTS_PER_CHUNK).takeWhile { result ->
+            val first = chars == 0
+            chars += result.text.length + RESULT_OVERHEAD_CHARS
+            first || chars <= settings.partChars
+        }
+    }
+
     private suspend fun handleFenced(batch: OwnedBatch) {
         val stored = store.ownership(batch.record.id).getOrElse { return delay(FIRST_RETRY_MILLIS) }
         val own = batch.ownershipRecord.ownership
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
@@ -49,7 +49,7 @@
                 .read()
                 .find(record.host, record.path)
                 ?.takeIf { it.kind == RouteKind.BATCH }
-        val busy = ownedBatches.active().sumOf { it.unfinished } >= settings.homeItems
+        val busy = ownedBatches.active.sumOf { it.unfinished } >= settings.homeItems
         if (route == null || busy || !dependencies.self().ready) return NotOwner
         return when (val outcome = localSubmissions.submit(record, route)) {
             is SubmitOutcome.Accepted -> Done
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/CallerRequest.kt
@@ -1,11 +1,12 @@
 package bergamotwall.gateway.forwarding
 
 import bergamotwall.gateway.http.Header
+import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.model.RequestId
 
 /**
- * A caller's request that is to be forwarded. [headers] are the caller's headers that are forwarded to the target.
- * [resume] is set if the caller resumes a stream.
+ * A request that is to be forwarded: a caller's, or the reward call of an item, as [purpose] tells. [headers] are those
+ * that are forwarded to the target. [resume] is set if the caller resumes a stream.
  * [arrivedAtMillis] and [deadlineAtMillis] are on the monotonic clock.
  */
 public data class CallerRequest(
@@ -17,4 +18,5 @@
     public val arrivedAtMillis: Long,
     public val deadlineAtMillis: Long,
     public val resume: StreamResume? = null,
+    public val purpose: SendPurpose = SendPurpose.REQUEST,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -20,7 +20,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Forwards callers' requests to targets.
+ * Forwards callers' requests and reward calls to targets.
  *
  * Guarantees:
  * - A request that must not run twice is sent to a second target only if the first states that it did not run it, or
@@ -35,11 +35,10 @@
     private val crashes: CrashGuard,
     private val limits: ForwardLimits,
     private val origins: StreamOrigins = StreamOrigins.NONE,
-) {
+) : RequestForwarder {
     private val runner = AttemptRunner(dependencies, limits)
 
-    /** Forwards [request] to a target of [route]. Cancelling the coroutine makes the targets drop the request. */
-    public suspend fun forward(
+    override suspend fun forward(
         request: CallerRequest,
         route: Route,
     ): ForwardOutcome {
@@ -49,7 +48,7 @@
         val outcome =
             forwarded.guarded.refusal()
                 ?: withTimeoutOrNull(remainingMillis) { coroutineScope { forwarded.run(this) } }
-                ?: if (forwarded.mayHaveRun) ForwardOutcome.TimedOut("deadline") else forwarded.notRun("deadline")
+                ?: forwarded.deadlineOutcome
         forwarded.record(outcome)
         return outcome
     }
@@ -83,8 +82,14 @@
 
         val guarded = GuardedRequest(request, route, crashes, dependencies.clock)
 
+        private var failedRuns = 0
+
         /** Whether a target ran the request, or may be running it now. */
-        val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
+        private val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
+
+        /** The outcome if the deadline passes now. */
+        val deadlineOutcome: ForwardOutcome
+            get() = if (mayHaveRun) ForwardOutcome.TimedOut("deadline", failedRuns) else notRun("deadline")
 
         suspend fun run(scope: CoroutineScope): ForwardOutcome {
             val refusal = placement.refusal()?.let { notRun(it) } ?: if (launchNext(scope)) null else noTarget(service)
@@ -120,7 +125,9 @@
 
         /** The next outcome, or null if the hedging delay passed first and the request was sent to another target. */
         private suspend fun nextOutcome(scope: CoroutineScope): AttemptOutcome? {
-            val hedge = route.retryable && tried.size < route.maxAttempts && guarded.mayHedge
+            // Nobody waits for a single reward call, and a wave of them would only be doubled where targets are busy.
+            val hedge = request.purpose == SendPurpose.REQUEST &&
+                route.retryable && tried.size < route.maxAttempts && guarded.mayHedge
             val waitMillis = if (hedge) route.targetLatencyMillis * limits.hedgePercent / PERCENT else Long.MAX_VALUE
             val outcome = outcomes.next(waitMillis)
             return if (outcome == null && !launchNext(scope)) outcomes.next() else outcome
@@ -146,8 +153,9 @@
         ): ForwardOutcome? {
             endedAttemptMayHaveRun = true
             val failed = outcome.head.status >= FIRST_SERVER_ERROR
+            if (failed) failedRuns++
             if (failed && route.retryable && continueAttempts(scope)) return null
-            return ForwardOutcome.Completed(outcome.head, outcome.body)
+            return ForwardOutcome.Completed(outcome.head, outcome.body, failedRuns)
         }
 
         private suspend fun onNotRun(
@@ -158,7 +166,7 @@
             refusals++
             delay(limits.refusedPauseMillis * refusals)
             if (refusals <= MAX_REFUSALS && continueAttempts(scope)) return null
-            return if (mayHaveRun) ForwardOutcome.Failed(outcome.reason) else notRun(outcome.reason)
+            return if (mayHaveRun) ForwardOutcome.Failed(outcome.reason, failedRuns) else notRun(outcome.reason)
         }
 
         private fun onBroken(
@@ -168,7 +176,7 @@
             lastReason = outcome.reason
             endedAttemptMayHaveRun = true
             if (route.retryable && continueAttempts(scope)) return null
-            return ForwardOutcome.Failed(outcome.reason)
+            return ForwardOutcome.Failed(outcome.reason, failedRuns)
         }
 
         /** Launches another attempt unless one is in flight; returns false if neither is possible. */
@@ -180,10 +188,10 @@
          */
         private fun launchNext(scope: CoroutineScope): Boolean {
             val allowed = tried.size < route.maxAttempts && guarded.mayRun
-            val target = if (allowed) selectTarget(service, tried.keys, placement) else null
+            val target = if (allowed) selectTarget(service, tried.keys, placement, request.purpose) else null
             if (target == null) return false
             tried[target.id] = target.softwareVersion
-            dependencies.limits.charge(target, SendPurpose.REQUEST, dependencies.clock.monotonicMillis())
+            dependencies.limits.charge(target, request.purpose, dependencies.clock.monotonicMillis())
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
                 val outcome = runner.run(request, target, deadlineAtMillis, route)
@@ -215,9 +223,10 @@
         service: ServiceName,
         tried: Set<TargetId>,
         placement: StreamPlacement,
+        purpose: SendPurpose,
     ): Target? {
         val usable = dependencies.gatewayState.targets.read().usable(service).filter { placement.allows(it) }
-        val chosen = chooseTarget(dependencies.candidates(usable, SendPurpose.REQUEST), tried, dependencies.random)
+        val chosen = chooseTarget(dependencies.candidates(usable, purpose), tried, dependencies.random)
         return usable.firstOrNull { it.id == chosen?.id }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -31,7 +31,8 @@
 
     private const val ITEMS = "bergamotwall/batch-items/"
     private const val RESULTS = "bergamotwall/batch-results/"
-    private const val POSITION_DIGITS = 6
+    private const val TEXTS = "bergamotwall/batch-texts/"
+    private const val NUMBER_DIGITS = 6
 
     /** Key of the registration of [node]. */
     public fun member(node: NodeId): String = MEMBERS + node.value
@@ -52,25 +53,21 @@
     /** Key of the ownership record of [batch]. */
     public fun batch(batch: BatchId): String = BATCHES + batch.value
 
-    /** Prefix of the item chunks of [batch] that the attempt [nonce] to create the batch has written. */
+    /** Prefix of the item chunks of [batch], by index, that the attempt [nonce] to create the batch has written. */
     public fun items(
         batch: BatchId,
         nonce: String,
     ): String = "$ITEMS${batch.value}/$nonce/"
 
-    /** Key of the item chunk [index] of [batch]. */
-    public fun itemChunk(
-        batch: BatchId,
-        nonce: String,
-        index: Int,
-    ): String = items(batch, nonce) + index.toString().padStart(POSITION_DIGITS, '0')
-
-    /** Prefix of the result chunks of [batch]. */
+    /** Prefix of the result chunks of [batch], by the position of their first result. */
     public fun results(batch: BatchId): String = "$RESULTS${batch.value}/"
 
-    /** Key of the result chunk of [batch] whose first result is at [position]. */
-    public fun resultChunk(
-        batch: BatchId,
-        position: Int,
-    ): String = results(batch) + position.toString().padStart(POSITION_DIGITS, '0')
+    /** Prefix of the chunks of [batch] with texts that wait for their scores, by the number of texts stored before. */
+    public fun texts(batch: BatchId): String = "$TEXTS${batch.value}/"
+
+    /** Key of the chunk [number] under [prefix]; keys are in the order of their numbers. */
+    public fun chunk(
+        prefix: String,
+        number: Int,
+    ): String = prefix + number.toString().padStart(NUMBER_DIGITS, '0')
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
@@ -38,7 +38,7 @@
         purpose: SendPurpose,
     ): RateShare {
         val share = shareOf(target, perSecond)
-        return if (purpose == SendPurpose.ITEM) guestShareOf(perSecond, share) else share
+        return if (purpose == SendPurpose.REQUEST) share else guestShareOf(perSecond, share)
     }
 
     private fun shareOf(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/SendPurpose.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/SendPurpose.kt
@@ -7,4 +7,7 @@
 
     /** An item of a batch. */
     ITEM,
+
+    /** The reward call of an item. */
+    REWARD,
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -40,18 +40,21 @@
 )
 
 /**
- * Metadata in the head of a response. [notRun]: the target did not run the request. [signed]: the response is signed
- * by a target. [version]: for engines, the version of the weights that generate the text. [full]: the target has no
- * free slot at present, or is loading weights. [limitPerSecond]: the number of requests a second that the target takes
- * from all processes together; null if it names none. [leaving]: the target is leaving and should get no further
- * requests.
+ * Metadata in the head of a response. [notRun]: the target did not run the request. [signature]: the target's signature
+ * of the response; null if it is not signed by a target. [version]: for engines, the version of the weights that
+ * generate the text. [full]: the target has no free slot at present, or is loading weights. [limitPerSecond]: the
+ * number of requests a second that the target takes from all processes together; null if it names none. [leaving]: the
+ * target is leaving and should get no further requests.
  */
 public data class ResponseMetadata(
     val notRun: Boolean,
-    val signed: Boolean,
+    val signature: String?,
     val load: ReportedLoad?,
     val version: Long?,
     val full: Boolean = false,
     val limitPerSecond: Double? = null,
     val leaving: Boolean = false,
-)
+) {
+    /** Whether the response is signed by a target. */
+    val signed: Boolean get() = signature != null
+}
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -9,9 +9,12 @@
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
+import bergamotwall.gateway.forwarding.CallerRequest
+import bergamotwall.gateway.forwarding.ForwardOutcome
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetRequest
+import bergamotwall.gateway.http.valueOf
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.routes.BatchTerms
@@ -34,6 +37,8 @@
 import bergamotwall.model.ItemId
 import bergamotwall.model.ItemSpec
 import bergamotwall.model.NodeId
+import bergamotwall.model.RequestId
+import bergamotwall.model.RewardCall
 import bergamotwall.model.ServiceName
 import bergamotwall.model.WeightVersion
 import bergamotwall.runtime.Clock
@@ -118,6 +123,9 @@
 
     private val gatewayState = GatewayState()
 
+    /** Answers reward calls. */
+    var forward: suspend (CallerRequest, Route) -> ForwardOutcome = { _, _ -> error("no reward call is expected") }
+
     /** Decisions of the process under test. */
     val journal = Journal(NodeId("self"), clock)
 
@@ -125,7 +133,7 @@
     val id = BatchId("b")
 
     /** A batch of one item. */
-    val record: BatchRecord = record(id.value, 1)
+    val record: BatchRecord get() = record(id.value, 1)
 
     /** Route of all batches. */
     val route =
@@ -143,9 +151,12 @@
             batch = BatchTerms(7_500, 40_000, false),
         )
 
+    /** Route of all reward calls. */
+    val rewardRoute = route.copy(name = "score", pathPrefix = "/score/", kind = RouteKind.IDEMPOTENT, batch = null)
+
     /** Creates the object under test in the background of [scope], with [route] and only [self] as member. */
     fun batches(scope: TestScope): Batches {
-        gatewayState.routes.update { RouteTable(ConfigurationRevision(1), listOf(route)) }
+        gatewayState.routes.update { RouteTable(ConfigurationRevision(1), listOf(route, rewardRoute)) }
         gatewayState.members.update { MemberList(mapOf(self.id to self)) }
         val loads = TargetLoads()
         val dependencies =
@@ -157,7 +168,7 @@
                 TargetDependencies(
                     gatewayState = gatewayState,
                     client = client,
-                    protocol = UnusedProtocol,
+                    protocol = RewardsOnlyProtocol,
                     loads = loads,
                     clock = clock,
                     random = Random(1),
@@ -166,6 +177,7 @@
                     metrics = GatewayMetrics(),
                     limits = TargetLimits(self.id, gatewayState, loads, journal),
                 ),
+                forwarder = { request, route -> forward(request, route) },
             )
         return Batches(dependencies, BatchSettings(), scope.backgroundScope, dispatcher)
     }
@@ -180,8 +192,11 @@
     }
 
     /** Removes all routes. */
-    fun removeRoutes() {
-        gatewayState.routes.update { RouteTable(ConfigurationRevision(2), emptyList()) }
+    fun removeRoutes(): Unit = setRoutes(emptyList())
+
+    /** Replaces the routes by [routes]. */
+    fun setRoutes(routes: List<Route>) {
+        gatewayState.routes.update { RouteTable(ConfigurationRevision(it.revision.value + 1), routes) }
     }
 
     /** An entry process that is the assigned owner of [route] when it and this process are members. */
@@ -201,12 +216,18 @@
         BatchCreator(memoryStore, 1_000).create(record, ownership, RetrySchedule(clock, Random(1), Long.MAX_VALUE))
     }
 
+    /** Whether the items of batches have reward calls. */
+    var rewarded = false
+
+    private fun reward(item: Int) =
+        RewardCall(RequestId("call-$item"), "h", "/score/$item", "AAAA").takeIf { rewarded }
+
     /** A batch [id] with [items] items. */
     fun record(
         id: String,
         items: Int,
     ): BatchRecord {
-        val specs = (1..items).map { ItemSpec(ItemId("$id-$it"), "g", "/item/$it", emptyList(), "", 1) }
+        val specs = (1..items).map { ItemSpec(ItemId("$id-$it"), "g", "/item/$it", emptyList(), "", 1, reward(it)) }
         return BatchRecord(BatchId(id), "h", "/batch/", null, 0, WeightVersion(1), 1, specs)
     }
 
@@ -215,14 +236,15 @@
         group.shutdownGracefully()
     }
 
-    /** Fails if it is used: no target is registered, so no item may be sent. */
-    private object UnusedProtocol : TargetProtocol {
+    /** Fails if an item is sent: no target is registered. Responses to reward calls are signed in a header. */
+    private object RewardsOnlyProtocol : TargetProtocol {
         override fun request(
             call: TargetCall,
             target: Target,
         ): TargetRequest = error("nothing is sent")
 
-        override fun read(head: ResponsePart.Head): ResponseMetadata = error("nothing is read")
+        override fun read(head: ResponsePart.Head): ResponseMetadata =
+            ResponseMetadata(notRun = false, head.headers.valueOf("signature"), load = null, version = null)
 
         override fun eventVersion(fields: Map<String, String>): Long? = null
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
@@ -81,8 +81,8 @@
         runTest {
             val owned = created()
             store.failWrites(CallFault.LOST_RESPONSE)
-            expectThat(batches.append(id, owned.revision, 0, results("i1"))).isEqualTo(AppendOutcome.UNKNOWN)
-            expectThat(batches.append(id, owned.revision, 0, results("i1"))).isEqualTo(AppendOutcome.APPENDED)
+            expectThat(batches.append(id, owned.revision, append(0, "i1"))).isEqualTo(AppendOutcome.UNKNOWN)
+            expectThat(batches.append(id, owned.revision, append(0, "i1"))).isEqualTo(AppendOutcome.APPENDED)
             expectThat(batches.results(id).get()).isEqualTo(results("i1"))
         }
 
@@ -90,9 +90,9 @@
     fun `an owner whose ownership record was changed cannot append`() =
         runTest {
             val old = created()
-            batches.append(id, old.revision, 0, results("i1"))
+            batches.append(id, old.revision, append(0, "i1"))
             batches.replace(id, old.revision, old.ownership.copy(owner = NodeId("other")))
-            expectThat(batches.append(id, old.revision, 1, results("i2"))).isEqualTo(AppendOutcome.FENCED)
+            expectThat(batches.append(id, old.revision, append(1, "i2"))).isEqualTo(AppendOutcome.FENCED)
             expectThat(batches.results(id).get().orEmpty().map { it.item.value }).containsExactly("i1")
         }
 
@@ -100,8 +100,8 @@
     fun `results at a position are never replaced`() =
         runTest {
             val owned = created()
-            batches.append(id, owned.revision, 0, results("i1"))
-            expectThat(batches.append(id, owned.revision, 0, results("i2"))).isEqualTo(AppendOutcome.FENCED)
+            batches.append(id, owned.revision, append(0, "i1"))
+            expectThat(batches.append(id, owned.revision, append(0, "i2"))).isEqualTo(AppendOutcome.FENCED)
         }
 
     @Test
@@ -144,5 +144,10 @@
             items = (1..20).map { ItemSpec(ItemId("i$it"), "g", "/p/$it", emptyList(), "AAAA", 10) },
         )
 
+    private fun append(
+        position: Int,
+        item: String,
+    ) = ResultAppend(position, results(item))
+
     private fun results(item: String) = listOf(ItemResult(ItemId(item), false, "text", listOf(WeightVersion(1))))
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/ItemStateTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/ItemStateTest.kt
@@ -32,7 +32,7 @@
                 val (id, version) = event.split('@')
                 item.append(StreamEvent(id.toLongOrNull(), "a$id", emptyMap()), WeightVersion(version.toLong()))
             }
-        val result = item.result(failed = false)
+        val result = item.text()
         expectThat(appended.last()).isEqualTo(accepted)
         expectThat(result.text).isEqualTo(text.replace(' ', '\n'))
         expectThat(result.versions.joinToString(" ") { it.value.toString() }).isEqualTo(versions)
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
@@ -30,8 +30,8 @@
         fixture.use {
             runTest {
                 val batch = ownedBatch()
-                val appender = ResultAppender(backgroundScope, BatchStore(store), GATHER_MILLIS, { }, { _, _ -> })
-                batch.complete(batch.items.values.first(), failed = false)
+                val appender = ResultAppender(backgroundScope, BatchStore(store), BatchSettings(), { }, { _, _ -> })
+                batch.generated(batch.items.values.first())
                 store.failWrites(CallFault.LOST_RESPONSE)
                 appender.scheduleAppend(batch)
                 advanceTimeBy(GATHER_MILLIS + 1)
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/ReadyAnswerIsLostTest.kt
@@ -114,7 +114,7 @@
             target: Target,
         ) = TargetRequest(call.method, call.path, call.headers, call.body)
 
-        override fun read(head: ResponsePart.Head) = ResponseMetadata(false, true, null, null)
+        override fun read(head: ResponsePart.Head) = ResponseMetadata(false, "s", null, null)
 
         override fun eventVersion(fields: Map<String, String>): Long? = null
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/limits/LimitPublisherTest.kt
@@ -128,7 +128,7 @@
                 target,
                 ResponseMetadata(
                     notRun = false,
-                    signed = true,
+                    signature = "s",
                     load = null,
                     version = null,
                     limitPerSecond = perSecond
--- a/model/src/main/kotlin/bergamotwall/model/BatchRecord.kt
+++ b/model/src/main/kotlin/bergamotwall/model/BatchRecord.kt
@@ -1,12 +1,18 @@
 package bergamotwall.model
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 
 /** An HTTP header of an item's request. */
 @Serializable
 public data class ItemHeader(val name: String, val value: String)
 
-/** An item of a batch: the request that generates it. Items of the same [group] share their prompt. */
+/**
+ * An item of a batch: the request that generates it. Items of the same [group] share their prompt. [reward] scores its
+ * text; null if the trainer asks for no score.
+ */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ItemSpec(
     val id: ItemId,
@@ -15,6 +21,7 @@
     val headers: List<ItemHeader>,
     val bodyBase64: String,
     val tokens: Long,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val reward: RewardCall? = null,
 )
 
 /**
