Let an intent name a rewarder for a trainer's samples

Cause: bergamotwall's own trainers had no reward calls, which the platform's now have.

Change: a trainer's intent may name a service as its rewarder, checked, planned and confirmed with the rest of the intent. A sample is stored, scored through the ServiceRunner as training work, stored with its score and only then counts; the generation counts as running until then, so that stragglers and groups know it. Another entry repeats the call alone. A sample whose call keeps failing is replaced.

--- a/entry/src/main/kotlin/bergamotwall/entry/BatchCoordinator.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchCoordinator.kt
@@ -41,6 +41,7 @@
     private val groups: GroupRunner,
     private val stores: SampleStores,
     private val manifests: Manifests,
+    private val scorer: SampleScorer,
 ) {
     private class Running(val number: Long, val hash: Long, val result: Deferred<Result<Batch, Problem>>)
 
@@ -87,7 +88,8 @@
                     groups,
                     stores,
                     manifests,
-                    tails.computeIfAbsent(trainer.name) { TailEstimator() }
+                    tails.computeIfAbsent(trainer.name) { TailEstimator() },
+                    scorer,
                 )
             val job = BatchJob(dependencies, trainer, number, order, statsOf(trainer.name))
             Running(number, hash, node.scope.async { job.run() })
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchDependencies.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchDependencies.kt
@@ -10,4 +10,5 @@
     val stores: SampleStores,
     val manifests: Manifests,
     val tail: TailEstimator,
+    val scorer: SampleScorer,
 )
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
@@ -14,10 +14,12 @@
 import bergamotwall.model.WeightVersion
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.util.UUID
 
 /** Generates the missing samples of one batch. */
@@ -39,6 +41,25 @@
         return results.firstOrNull { it.isErr } ?: Ok(Unit)
     }
 
+    /** Has the samples scored that an earlier job stored, but whose scores are not known. */
+    suspend fun scoreStored() {
+        coroutineScope {
+            samples.takeUnscored().forEach { sample -> launch { scoreStored(sample) } }
+        }
+    }
+
+    private suspend fun scoreStored(sample: Sample) {
+        val spec = order.groups.getOrNull(sample.group) ?: return
+        score(sample, spec.prompt).map { samples.addIfFresh(sample.copy(score = it)) }
+    }
+
+    /** The score of [sample], null if the trainer has no rewarder. */
+    private suspend fun score(
+        sample: Sample,
+        prompt: String,
+    ): Result<String?, Problem> =
+        trainer.rewarder?.let { dependencies.scorer.score(trainer, it, prompt, sample) } ?: Ok(null)
+
     private suspend fun generate(
         group: Int,
         missing: Int,
@@ -52,7 +73,7 @@
             remaining,
             dependencies.tail,
             { requestOf(spec, "$name-$it") },
-            Listener(group, name)
+            Listener(group, name, spec.prompt)
         )
     }
 
@@ -80,16 +101,39 @@
         return WeightVersion(published.value - trainer.stalenessBoundVersions)
     }
 
-    private inner class Listener(private val group: Int, private val name: String) : GroupListener {
+    private inner class Listener(
+        private val group: Int,
+        private val name: String,
+        private val prompt: String,
+    ) : GroupListener {
+        /** Stores the sample before it is scored, so that another entry repeats the call alone. */
+        override suspend fun prepare(
+            number: Int,
+            generation: Generation,
+        ): Result<Generation, Problem> {
+            val sample = sampleOf(number, generation)
+            val scored = trainer.rewarder != null && samples.storeUnscored(sample)
+            return if (scored) score(sample, prompt).map { generation.copy(score = it) } else Ok(generation)
+        }
+
         override suspend fun completed(
             number: Int,
             generation: Generation,
-        ): Boolean {
-            val id = SampleId("$name-$number")
-            return samples.addIfFresh(
-                Sample(id, group, generation.versions, generation.text, generation.tokens, generation.engines)
+        ): Boolean = samples.addIfFresh(sampleOf(number, generation))
+
+        private fun sampleOf(
+            number: Int,
+            generation: Generation,
+        ): Sample =
+            Sample(
+                SampleId("$name-$number"),
+                group,
+                generation.versions,
+                generation.text,
+                generation.tokens,
+                generation.engines,
+                generation.score,
             )
-        }
 
         override suspend fun backOff(problem: Problem) {
             if (problem.kind !in FATAL_KINDS) delay(problem.retryAfterMillis ?: RETRY_MILLIS)
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
@@ -55,6 +55,7 @@
             is BatchStep.Generate -> {
                 if (number > 1) dependencies.stores.release(trainer.name, number - 1)
                 samples.fetch()
+                generation.scoreStored()
                 assemble(step.attempt)
             }
         }
@@ -72,6 +73,7 @@
         if (complete && fresh) return Ok(deliver(manifest.attempt, committed, state.published))
         val cause = if (complete) "samples became too old" else "a sample store was lost"
         journal("attempt ${manifest.attempt + 1}", "not acknowledged and can no longer be delivered", cause)
+        generation.scoreStored()
         return assemble(manifest.attempt + 1)
     }
 
--- a/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Entry.kt
@@ -41,9 +41,16 @@
     private val writer = ReceiptWriter(node.store, node.clock)
     private val receipts = Receipts(node, fleet, writer)
     private val authenticator = Authenticator(node.fleetState)
-    private val batchCoordinator =
-        BatchCoordinator(node, fleet, groups, SampleStores(node, fleet), Manifests(node.store))
     private val serviceRunner = ServiceRunner(node, permits, ServiceDriver(client), retryBudgets)
+    private val batchCoordinator =
+        BatchCoordinator(
+            node,
+            fleet,
+            groups,
+            SampleStores(node, fleet),
+            Manifests(node.store),
+            SampleScorer(node, serviceRunner),
+        )
     private val completions = CompletionApi(node, authenticator, groups)
     private val services = ServiceApi(node, ServiceCallReader(node, authenticator), serviceRunner, receipts)
     private val trainers = TrainerApi(Publications(node), authenticator, batchCoordinator)
--- a/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Generation.kt
@@ -26,7 +26,10 @@
     val fromBatch: Boolean = false,
 )
 
-/** A completed generation. [versions] and [engines] are those that generated any of its text. */
+/**
+ * A completed generation. [versions] and [engines] are those that generated any of its text. [score] is set once it was
+ * scored.
+ */
 internal data class Generation(
     val text: String,
     val tokens: Int,
@@ -34,4 +37,5 @@
     val engines: List<TargetId>,
     val finishReason: String,
     val durationMillis: Long,
+    val score: String? = null,
 )
--- a/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
@@ -11,6 +11,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
@@ -28,6 +29,15 @@
         chunk: EngineChunk,
     ) {}
 
+    /**
+     * Generation [number] is complete as a text. Returns it as it is to count, for example with its score, or the
+     * problem for which it is replaced. The generation counts as running until then.
+     */
+    suspend fun prepare(
+        number: Int,
+        generation: Generation,
+    ): Result<Generation, Problem> = Ok(generation)
+
     /** Generation [number] has completed. Returns false if it cannot be used and must be replaced by another. */
     suspend fun completed(
         number: Int,
@@ -100,7 +110,7 @@
         number: Int,
         listener: GroupListener,
     ): Result<Generation, Problem> {
-        val result = runner.run(request) { listener.chunk(number, it) }
+        val result = runner.run(request) { listener.chunk(number, it) }.andThen { listener.prepare(number, it) }
         if (result.isErr) listener.backOff(result.error)
         return result
     }
--- a/entry/src/main/kotlin/bergamotwall/entry/SampleStores.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/SampleStores.kt
@@ -59,9 +59,15 @@
                 }.awaitAll()
                 .flatten()
                 .groupBy { it.sample.id }
-                .map { (_, copies) -> StoredSample(copies.first().sample, copies.flatMap { it.stores }) }
+                .map { (_, copies) -> newestOf(copies) }
         }
 
+    /** A sample is stored again once it is scored, and a store may have missed that. */
+    private fun newestOf(copies: List<StoredSample>): StoredSample {
+        val newest = copies.filter { it.sample.score != null }.ifEmpty { copies }
+        return StoredSample(newest.first().sample, newest.flatMap { it.stores }.distinct())
+    }
+
     /** Lets the stores delete the samples of all batches up to [batch]. */
     suspend fun release(
         trainer: TrainerName,
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -21,14 +21,14 @@
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.delay
 
-/** Runs calls of plain services: acquires a permit, calls the target, and retries only where that is safe. */
+/** [ServiceCalls] over the permits and targets of the fleet. */
 internal class ServiceRunner(
     private val node: Node,
     private val permits: PermitSource,
     private val services: ServiceDriver,
     private val retryBudgets: RetryBudgets,
-) {
-    suspend fun run(
+) : ServiceCalls {
+    override suspend fun run(
         call: ServiceCall,
         trace: String,
     ): Result<ServiceResponse, Problem> {
--- a/model/src/main/kotlin/bergamotwall/model/Intent.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Intent.kt
@@ -51,7 +51,8 @@
  * A trainer, authenticated by its bearer [key].
  *
  * It gets no sample that is more than [stalenessBoundVersions] versions behind the published one.
- * [shareWeight] is its share of the engines relative to other trainers.
+ * [shareWeight] is its share of the engines relative to other trainers. With a [rewarder], it gets only samples that
+ * were scored.
  */
 @Serializable
 public data class TrainerIntent(
@@ -60,4 +61,5 @@
     val model: ModelName,
     val stalenessBoundVersions: Int,
     val shareWeight: Int = 1,
+    val rewarder: RewarderIntent? = null,
 )
--- a/model/src/main/kotlin/bergamotwall/model/IntentValidator.kt
+++ b/model/src/main/kotlin/bergamotwall/model/IntentValidator.kt
@@ -55,6 +55,7 @@
     )
     check(trainer.stalenessBoundVersions >= 0, "stalenessBoundVersions", "is negative", "use 0 or more versions")
     check(trainer.shareWeight > 0, "shareWeight", "is not positive", "use 1 or more")
+    trainer.rewarder?.let { validateRewarder(it, trainer, intent, check) }
     val behind = model?.allowedVersionsBehind ?: trainer.stalenessBoundVersions
     check(
         behind >= trainer.stalenessBoundVersions,
@@ -64,6 +65,23 @@
     )
 }
 
+private fun validateRewarder(
+    rewarder: RewarderIntent,
+    trainer: TrainerIntent,
+    intent: Intent,
+    check: (Boolean, String, String, String) -> Unit,
+) {
+    check(
+        intent.services.any { it.name == rewarder.service },
+        "rewarder",
+        "of trainer ${trainer.name.value} names a service that this intent does not have",
+        "add the service or correct the name",
+    )
+    check(rewarder.path.startsWith('/'), "path", "is not an absolute path", "use for example /score")
+    check(rewarder.timeoutMillis > 0, "timeoutMillis", "is not positive", "use for example 10000")
+    check(rewarder.maxAttempts > 0, "maxAttempts", "is not positive", "use 1 or more")
+}
+
 private fun lineOfField(
     text: String,
     field: String,
--- a/model/src/main/kotlin/bergamotwall/model/Sample.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Sample.kt
@@ -1,8 +1,14 @@
 package bergamotwall.model
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 
-/** A finished sample. [versions] are those that the engine named in the chunks, in order of first appearance. */
+/**
+ * A finished sample. [versions] are those that the engine named in the chunks, in order of first appearance. [score] is
+ * what the trainer's rewarder returned; null if it has none, or before the sample is scored.
+ */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class Sample(
     val id: SampleId,
@@ -11,6 +17,7 @@
     val text: String,
     val tokens: Int,
     val engines: List<TargetId>,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val score: String? = null,
 )
 
 /** Group of samples that a trainer requests: [n] are started, and the first [enough] that complete are delivered. */
--- a/model/src/test/kotlin/bergamotwall/model/DocumentReaderTest.kt
+++ b/model/src/test/kotlin/bergamotwall/model/DocumentReaderTest.kt
@@ -72,6 +72,24 @@
         delimiter = '|',
         value = [
             "blank name | {\"name\": \"\"} | name",
+            "rewarder of another service " +
+                "| {\"name\": \"i\", \"models\": [{\"name\": \"m\"}], \"services\": [{\"name\": \"s\"}], " +
+                "\"trainers\": [{\"name\": \"t\", \"key\": \"k\", \"model\": \"m\", " +
+                "\"stalenessBoundVersions\": 1, \"rewarder\": {\"service\": \"other\"}}]} | rewarder",
+            "rewarder without a path " +
+                "| {\"name\": \"i\", \"models\": [{\"name\": \"m\"}], \"services\": [{\"name\": \"s\"}], " +
+                "\"trainers\": [{\"name\": \"t\", \"key\": \"k\", \"model\": \"m\", " +
+                "\"stalenessBoundVersions\": 1, \"rewarder\": {\"service\": \"s\", \"path\": \"score\"}}]} | path",
+            "rewarder without attempts " +
+                "| {\"name\": \"i\", \"models\": [{\"name\": \"m\"}], \"services\": [{\"name\": \"s\"}], " +
+                "\"trainers\": [{\"name\": \"t\", \"key\": \"k\", \"model\": \"m\", " +
+                "\"stalenessBoundVersions\": 1, " +
+                "\"rewarder\": {\"service\": \"s\", \"maxAttempts\": 0}}]} | maxAttempts",
+            "rewarder without time " +
+                "| {\"name\": \"i\", \"models\": [{\"name\": \"m\"}], \"services\": [{\"name\": \"s\"}], " +
+                "\"trainers\": [{\"name\": \"t\", \"key\": \"k\", \"model\": \"m\", " +
+                "\"stalenessBoundVersions\": 1, " +
+                "\"rewarder\": {\"service\": \"s\", \"timeoutMillis\": 0}}]} | timeoutMillis",
             "trainer without its model " +
                 "| {\"name\": \"i\", \"trainers\": [{\"name\": \"t\", \"key\": \"k\", \"model\": \"m\", " +
                 "\"stalenessBoundVersions\": 1}]} | model",
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Metrics.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Metrics.kt
@@ -29,6 +29,9 @@
     /** Samples replaced because their weight version had become too old, by trainer. */
     public val expired: Counter = metricRegistry.counter("samples_expired", "Samples replaced as too old.", "trainer")
 
+    /** Calls that were to score a sample, by outcome. */
+    public val rewards: Counter = metricRegistry.counter("rewards", "Calls to rewarders.", "outcome")
+
     /** Attempts after the first, by the outcome that caused them. */
     public val retries: Counter = metricRegistry.counter("retries", "Attempts after the first.", "reason")
 
--- a/standins/src/main/kotlin/bergamotwall/standins/ClientCommands.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/ClientCommands.kt
@@ -31,6 +31,9 @@
     @Option(names = ["--publishes"])
     var publishes = false
 
+    @Option(names = ["--rewarded"])
+    var rewarded = false
+
     @Option(names = ["--bound"], required = true)
     var bound = 0
 
@@ -52,6 +55,7 @@
                 entries = entries,
                 publishes = publishes,
                 bound = bound,
+                rewarded = rewarded,
                 runMillis = seconds * MILLIS_PER_SECOND,
                 seed = seed,
             )
--- a/standins/src/main/kotlin/bergamotwall/standins/RecordTypes.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/RecordTypes.kt
@@ -50,8 +50,9 @@
  * A batch that a trainer received, with the trainer's checks of its samples.
  *
  * [mislabelled], [wrong] and [tooStale] count the samples whose stated versions differ from those in the text, whose
- * text is not the complete response to the prompt, and which are older than the trainer's bound. [short] counts the
- * samples missing from the groups. [ageVersions] has for each sample how many versions it is behind the newest.
+ * text is not the complete response to the prompt, and which are older than the trainer's bound; [wrongScores] those
+ * without the score of their text. [short] counts the samples missing from the groups. [ageVersions] has for each
+ * sample how many versions it is behind the newest.
  */
 @Serializable
 internal data class BatchRecord(
@@ -62,6 +63,7 @@
     val wrong: Int,
     val tooStale: Int,
     val short: Int,
+    val wrongScores: Int = 0,
     val waitedMillis: Long,
     val ageVersions: List<Long>,
     val atMillis: Long,
--- a/standins/src/main/kotlin/bergamotwall/standins/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/ServiceStandIn.kt
@@ -1,6 +1,7 @@
 package bergamotwall.standins
 
 import bergamotwall.model.Jsons
+import bergamotwall.model.ScoreRequest
 import bergamotwall.model.TargetReport
 import bergamotwall.runtime.aggregatedService
 import bergamotwall.runtime.jsonResponse
@@ -24,7 +25,10 @@
 @Serializable
 internal data class ServiceEcho(val key: String, val instance: String)
 
-/** Stand-in for a plain service: records each execution of a write, so that `verify` finds duplicates. */
+/**
+ * Stand-in for a plain service: records each execution of a write, so that `verify` finds duplicates. Scores the sample
+ * in a `POST` to [SCORE_PATH], which may run any number of times.
+ */
 public class ServiceStandIn(
     private val id: String,
     address: String,
@@ -57,8 +61,10 @@
         try {
             val key = request.headers().get("idempotency-key").orEmpty()
             val write = request.method() == HttpMethod.POST
-            if (write) records.add(ServiceRun(id, key, request.path(), System.currentTimeMillis()))
+            val scores = write && request.path() == SCORE_PATH
+            if (write && !scores) records.add(ServiceRun(id, key, request.path(), System.currentTimeMillis()))
             delay(workMillis)
+            if (scores) return HttpResponse.of(scoreOfText(sampleIn(request).text))
             val body = Jsons.wire.encodeToString(ServiceEcho.serializer(), ServiceEcho(key, id))
             return HttpResponse.of(HttpStatus.OK, MediaType.JSON_UTF_8, body)
         } finally {
@@ -66,7 +72,11 @@
         }
     }
 
+    private fun sampleIn(request: AggregatedHttpRequest): ScoreRequest =
+        Jsons.wire.decodeFromString(ScoreRequest.serializer(), request.contentUtf8())
+
     private companion object {
+        private const val SCORE_PATH = "/score"
         private const val DEFAULT_WORK_MILLIS = 15L
         private const val SLOTS = 32
     }
--- a/standins/src/main/kotlin/bergamotwall/standins/TrainerStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/TrainerStandIn.kt
@@ -112,6 +112,7 @@
             mislabelled = batch.samples.count { s -> s.versions.map { it.value } != TokenText.versions(s.text) },
             wrong = batch.samples.count { !TokenText.isComplete(it.text, order.groups[it.group].prompt) },
             tooStale = batch.samples.count { s -> s.versions.min().value < newest - options.bound },
+            wrongScores = batch.samples.count { it.score != if (options.rewarded) scoreOfText(it.text) else null },
             short =
             order.groups.indices.sumOf { g ->
                 maxOf(0, order.groups[g].enough - batch.samples.count { it.group == g })
--- a/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/Verdict.kt
@@ -21,6 +21,7 @@
     val lost: Int,
     val mislabelled: Int,
     val wrongAnswers: Int,
+    val wrongScores: Int,
     val tooStale: Int,
     val cutOff: Int,
     val ranTwice: Int,
@@ -40,7 +41,18 @@
     val applicationP99Millis: Long,
 ) {
     private val violations: Int
-        get() = doubled + lost + mislabelled + wrongAnswers + tooStale + cutOff + ranTwice + falseNotRun + reverted
+        get() = listOf(
+            doubled,
+            lost,
+            mislabelled,
+            wrongAnswers,
+            wrongScores,
+            tooStale,
+            cutOff,
+            ranTwice,
+            falseNotRun,
+            reverted,
+        ).sum()
 
     /** Whether every guarantee that callers can check held, and there was work to check. */
     val passed: Boolean
@@ -68,6 +80,7 @@
         lost = records.batches.sumOf { it.short } + records.batchesOutOfSequence() + records.lostRuns(),
         mislabelled = records.batches.sumOf { it.mislabelled } + records.count(CallOutcome.MISLABELLED),
         wrongAnswers = records.batches.sumOf { it.wrong } + records.count(CallOutcome.WRONG),
+        wrongScores = records.batches.sumOf { it.wrongScores },
         tooStale = records.batches.sumOf { it.tooStale } + records.batchesTooStale(),
         cutOff = unexplained.size,
         ranTwice = records.runsByKey.count { it.value.size > 1 },
