--- a/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
@@ -46,8 +46,8 @@
 import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
-import strikt.assertions.isNotEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.util.concurrent.ConcurrentHashMap
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -144,7 +144,14 @@
 
     private val streamOrigins =
         SharedStreamOrigins(
-            StreamOriginDependencies(store, gatewayState, drivers.clock, random, metrics),
+            StreamOriginDependencies(
+                store,
+                gatewayState,
+                drivers.clock,
+                random,
+                metrics,
+                targetsConfirmation = { watches.targetsConfirmation },
+            ),
             settings.streams,
         )
 
@@ -276,7 +283,7 @@
     }
 
     private fun configurationAgeMillis(): Long? =
-        configurationConfirmation?.let { drivers.clock.monotonicMillis() - it.atMillis }
+        configurationConfirmation?.ageMillis(drivers.clock)
 
     private fun self(): GatewayMember =
         GatewayMember(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -60,7 +60,10 @@
     val configurationConfirmation: WatchConfirmation? get() = operatorWatcher.confirmation
 
     /** When the list of targets was last known to be current; null before the first listing. */
-    val targetsConfirmedAtMillis: Long? get() = targetWatcher.confirmation?.atMillis
+    val targetsConfirmedAtMillis: Long? get() = targetsConfirmation?.atMillis
+
+    /** The latest proof that the list of targets is current; null before the first listing. */
+    val targetsConfirmation: WatchConfirmation? get() = targetWatcher.confirmation
 
     private val leadershipFreeSinceMillis = AtomicLong(Long.MAX_VALUE)
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -53,11 +53,11 @@
         }
 
     private suspend fun list() {
-        val sentAtMillis = clock.monotonicMillis()
+        val sent = Instant(clock)
         store.list(prefix).fold(
             success = { listing ->
                 onSuccess()
-                confirm(sentAtMillis, listing.relay)
+                confirm(sent, 0, listing.relay)
                 keys.listed(listing.entries.associateBy { it.key }, clock.monotonicMillis())
                 revision = listing.revision
                 onChange(keys.current())
@@ -69,14 +69,17 @@
     private suspend fun poll(fromRevision: Long) {
         val dueMillis = keys.expiryAtMillis()?.let { it - clock.monotonicMillis() } ?: timing.waitMillis
         val waitMillis = if (failing) 0 else dueMillis.coerceIn(1, timing.waitMillis)
-        val sentAtMillis = clock.monotonicMillis()
+        val sent = Instant(clock)
         feed.changes(prefix, fromRevision, waitMillis).fold(
             success = { response ->
                 onSuccess()
-                val receivedAtMillis = clock.monotonicMillis()
-                // A response without changes may have been delayed since the end of the wait.
-                val waitEndMillis = if (response.changes.isEmpty()) sentAtMillis + waitMillis else receivedAtMillis
-                confirm(minOf(waitEndMillis, receivedAtMillis), response.relay)
+                val received = Instant(clock)
+                // A response without changes may have been delayed since the end of the wait. If the VM was suspended,
+                // the response may have been waiting for it all the while.
+                val waitedMillis = if (response.changes.isEmpty()) waitMillis else Long.MAX_VALUE
+                val provenMillis =
+                    if (sent.suspendedUntil(received)) 0 else minOf(waitedMillis, received.millis - sent.millis)
+                confirm(sent, provenMillis, response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
                 if (response.changes.isNotEmpty()) {
@@ -90,11 +93,15 @@
         )
     }
 
+    /** Records the proof that the entries were current [afterMillis] after [sent]. */
     private fun confirm(
-        atMillis: Long,
+        sent: Instant,
+        afterMillis: Long,
         relay: NodeId?,
     ) {
-        confirmation = WatchConfirmation(atMillis, atMillis - (confirmation?.atMillis ?: atMillis), relay)
+        val atMillis = sent.millis + afterMillis
+        val gapMillis = atMillis - (confirmation?.atMillis ?: atMillis)
+        confirmation = WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
     }
 
     private fun apply(change: KeyValueChange) {
@@ -125,4 +132,19 @@
             failing = true
         }
     }
+
+    /** A moment on both clocks. */
+    private class Instant(clock: Clock) {
+        val millis = clock.monotonicMillis()
+        val wallMillis = clock.wallMillis()
+
+        /** Whether the VM seems to have been suspended between this moment and [later]. */
+        fun suspendedUntil(later: Instant): Boolean =
+            later.wallMillis - wallMillis - (later.millis - millis) > SUSPENSION_MILLIS
+    }
+
+    private companion object {
+        /** Far more than the clocks drift apart during a poll. */
+        private const val SUSPENSION_MILLIS = 200L
+    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
@@ -27,7 +27,8 @@
     private val dependencies: StreamOriginDependencies,
     private val settings: StreamSettings,
 ) {
-    private class Stored(val history: VersionHistory, val revision: Long)
+    /** The [history] at [revision], which this process has known since [seenAtMillis] on the monotonic clock. */
+    private class Stored(val history: VersionHistory, val revision: Long, val seenAtMillis: Long)
 
     @Volatile
     private var watched: Map<ServiceName, Stored> = emptyMap()
@@ -44,7 +45,10 @@
         val histories = HashMap<ServiceName, Stored>()
         entries.values.filter { it.key.startsWith(StreamKeys.HISTORIES) }.forEach { entry ->
             val service = ServiceName(entry.key.removePrefix(StreamKeys.HISTORIES))
-            historyOf(entry)?.let { histories[service] = Stored(it, entry.modRevision) }
+            val known = watched[service]?.takeIf { it.revision == entry.modRevision }
+            val seenAtMillis = dependencies.clock.monotonicMillis()
+            val stored = known ?: historyOf(entry)?.let { Stored(it, entry.modRevision, seenAtMillis) }
+            if (stored != null) histories[service] = stored
         }
         watched = histories
     }
@@ -73,11 +77,21 @@
         streamingServices().forEach { service ->
             val stored = watched[service]
             val before = stored?.history ?: VersionHistory()
-            val next = before.next(registered(service), nowMillis, settings.retentionMillis)
+            val next = before.next(registered(service) + unconfirmed(stored), nowMillis, settings.retentionMillis)
             if (next != before) write(service, next, stored?.revision ?: 0)
         }
     }
 
+    /**
+     * The versions that serve according to [stored], but of which the list of targets may be too old to tell: another
+     * process has seen a target that this one has not.
+     */
+    private fun unconfirmed(stored: Stored?): Set<SoftwareVersion> {
+        val confirmedAtMillis = dependencies.targetsConfirmation()?.atMillis
+        val current = stored == null || confirmedAtMillis != null && confirmedAtMillis > stored.seenAtMillis
+        return if (current) emptySet() else stored?.history?.leftAtMillis.orEmpty().filterValues { it == null }.keys
+    }
+
     private suspend fun write(
         service: ServiceName,
         history: VersionHistory,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/SharedStreamOrigins.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/SharedStreamOrigins.kt
@@ -59,6 +59,11 @@
         first: RequestId?,
         services: Set<ServiceName>,
     ): StreamOrigin? {
+        val ageMillis = dependencies.targetsConfirmation()?.ageMillis(dependencies.clock)
+        if (ageMillis == null || ageMillis > settings.targetsStaleMillis) {
+            resumed.labelValues("outdated_targets").inc()
+            return null
+        }
         val own = first?.let { records.find(it) }
         if (own != null) resumed.labelValues("memory").inc()
         return own ?: (if (first == null) soleOrigin(services) else look(first, services) ?: lookAgain(first, services))
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/StreamSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/StreamSettings.kt
@@ -16,4 +16,9 @@
     val writeMillisPerProcess: Long = 5,
     /** How long a resumed stream that is not on record waits for the process that began it to write the record. */
     val pendingMillis: Long = 300,
+    /**
+     * A process that has not known its list of targets to be current for this long resumes no stream: targets may have
+     * been replaced. Longer than a long poll takes that returns without changes.
+     */
+    val targetsStaleMillis: Long = 5_000,
 )
--- a/gateway/src/test/kotlin/bergamotwall/gateway/streams/SharedStreamOriginsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/streams/SharedStreamOriginsTest.kt
@@ -8,6 +8,7 @@
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.routes.ServiceShare
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.model.ConfigurationRevision
@@ -157,6 +158,44 @@
             expectThat(entries(StreamKeys.HISTORIES).keys).isEmpty()
         }
 
+    @ParameterizedTest(name = "list of targets confirmed {0} ms after the history was seen: the new version serves {1}")
+    @CsvSource("-3000, true", "0, true", "1, false")
+    fun `a process out of step does not declare a version gone that others have seen`(
+        confirmedAfterMillis: Long,
+        serves: Boolean,
+    ) = runTest {
+        val a = process()
+        setTargets("v1", "v2")
+        record(a)
+        val outOfStep = GatewayState().also { it.routes.update { state.routes.read() } }
+        outOfStep.targets.update { TargetList(listOf(target("v1")).associateBy { it.id }) }
+        val seenAtMillis = currentTime
+        val b = process(outOfStep) { confirmedAt(seenAtMillis + confirmedAfterMillis) }
+        b.publish()
+        a.onStoreChanged(entries(GatewayKeys.LIVE))
+        expectThat(a.mayBeginAt(target("v2"))).isEqualTo(serves)
+        // Whatever it declares, a stream of either version is not continued at the other one.
+        expectThat(process().find(STREAM, setOf(SERVICE))).isNull()
+    }
+
+    @ParameterizedTest(name = "confirmed {0} ms ago, suspended for {1} ms since: continues {2}")
+    @CsvSource("0, 0, true", "4500, 0, true", "6000, 0, false", "100, 6000, false", "0, 1000, true")
+    fun `a process that may have missed a change of the targets resumes no stream`(
+        agoMillis: Long,
+        suspendedMillis: Long,
+        continues: Boolean,
+    ) = runTest {
+        val a = process()
+        setTargets("v1")
+        record(a)
+        delay(agoMillis)
+        val atMillis = currentTime - agoMillis
+        val b = process { WatchConfirmation(atMillis, atMillis - suspendedMillis, 0, null) }
+        expectThat(b.find(STREAM, setOf(SERVICE)) != null).isEqualTo(continues)
+    }
+
+    private fun confirmedAt(millis: Long) = WatchConfirmation(millis, millis, 0, null)
+
     private val state = GatewayState().also { it.routes.update { RouteTable(ConfigurationRevision(1), listOf(ROUTE)) } }
     private var memory: MemoryKeyValueStore? = null
     private var clock: Clock? = null
@@ -171,8 +210,12 @@
     private fun TestScope.store(): MemoryKeyValueStore = memory ?: MemoryKeyValueStore(clock()).also { memory = it }
 
     /** A process that has read what is stored. */
-    private suspend fun TestScope.process(): SharedStreamOrigins {
-        val dependencies = StreamOriginDependencies(store(), state, clock(), Random(1), GatewayMetrics())
+    private suspend fun TestScope.process(
+        known: GatewayState = state,
+        confirmation: () -> WatchConfirmation? = { confirmedAt(currentTime + 1) },
+    ): SharedStreamOrigins {
+        val dependencies =
+            StreamOriginDependencies(store(), known, clock(), Random(1), GatewayMetrics(), confirmation)
         return SharedStreamOrigins(dependencies, SETTINGS).also { it.onStoreChanged(entries(GatewayKeys.LIVE)) }
     }
 
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Clock.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Clock.kt
@@ -2,7 +2,10 @@
 
 /** Source of time; tests replace it. */
 public interface Clock {
-    /** Milliseconds of a clock that never goes backwards and keeps running while the process is paused. */
+    /**
+     * Milliseconds of a clock that never goes backwards and keeps running while the process is paused, but may stand
+     * still while its VM is suspended.
+     */
     public fun monotonicMillis(): Long
 
     /** Milliseconds since the epoch. */
