Pause longer between calls for news where the fleet is large

Cause: each change of a key that all processes watch costs one call per process, and the changes grow with the fleet too. Three kinds of calls bring no news: renewals of the registration at every change of any section, searches for orphans when a process joins, and polls 20 ms after each of a burst of registrations.

Change: newsPauseMillis, a pure policy, sets the pause by the number of members. For targets it stays within what their departure leaves (departureMillis, from the platform's settings; unchanged at 2 s, as on the small sites), and processes that run batches or lead weight orders keep the short one. A registration is written when it has changed; only the loss of a member leads to a search.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import bergamotwall.gateway.members.EvacuationDependencies
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.Registration
+import bergamotwall.gateway.members.isAssignedOwner
 import bergamotwall.gateway.relays.RelayPeer
 import bergamotwall.gateway.relays.RelayedTargetClient
 import bergamotwall.gateway.relays.TargetRelay
@@ -171,6 +172,7 @@
         settings,
         drivers.copy(store = store, feed = store),
         targetDependencies,
+        { batches.runsAny || isAssignedOwner(settings.id, gatewayState) },
         { entries ->
             crashes.onStoreChanged(entries)
             limitPublisher.onStoreChanged(entries)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -71,13 +71,23 @@
     val configurationStaleMillis: Long = 2_000,
     /** How much longer than its long poll a call may take. */
     val marginMillis: Long = 500,
-    /** Pause after a configuration change; a change must be applied within two seconds. */
+    /** Pause after a configuration change, and the shortest one after a change of members. */
     val configurationPauseMillis: Long = 20,
+    /** Pause after a change of members for each of them, so that their news take a bounded number of calls. */
+    val memberPauseMillis: Long = 4,
+    /** The longest of these pauses; news of a lost member are up to a lease's duration old anyway. */
+    val longestMemberPauseMillis: Long = 400,
+    /** Shortest pause after a change of targets, so that a burst takes few calls. */
+    val targetPauseMillis: Long = 300,
+    /** Pause after a change of targets for each member, at processes that run no batches and order no weights. */
+    val targetPausePerMemberMillis: Long = 20,
     /**
-     * Pause after a change of targets, so that a burst takes few calls. Draining targets still accept requests for two
-     * seconds, longer than this pause.
+     * How long a target goes on serving after its departure is on record. No pause after a change of targets is longer
+     * than half of what is left of this after [departureMarginMillis].
      */
-    val targetPauseMillis: Long = 300,
+    val departureMillis: Long = 2_000,
+    /** Time for calls that fail and take another path while a target leaves. */
+    val departureMarginMillis: Long = 1_400,
     /** Grace period for targets: registrations that expired in an outage return within about two seconds of its end. */
     val graceMillis: Long = 2_200,
     /** Grace period for gateway processes, which renew their registrations within a second of an outage's end. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway
 
+import bergamotwall.decisions.newsPauseMillis
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
@@ -24,6 +25,7 @@
     private val settings: GatewaySettings,
     private val drivers: GatewayDrivers,
     private val targets: TargetDependencies,
+    private val runsBatches: () -> Boolean,
     private val onLiveEntries: (Map<String, KeyValueEntry>) -> Unit,
     private val onChange: (WatchedSection) -> Unit,
 ) {
@@ -38,16 +40,16 @@
     private val operatorWatcher =
         watcher(
             drivers.documents.operatorPrefix,
-            watchSettings.configurationPauseMillis,
+            { watchSettings.configurationPauseMillis },
             0,
             watchSettings.configurationWaitMillis,
         ) { onOperatorDocumentsChanged(it) }
     private val targetWatcher =
-        watcher(drivers.documents.targetPrefix, watchSettings.targetPauseMillis, watchSettings.graceMillis) {
+        watcher(drivers.documents.targetPrefix, ::targetPauseMillis, watchSettings.graceMillis) {
             onTargetsChanged(it)
         }
     private val memberWatcher =
-        watcher(GatewayKeys.LIVE, watchSettings.configurationPauseMillis, watchSettings.memberGraceMillis) {
+        watcher(GatewayKeys.LIVE, ::memberPauseMillis, watchSettings.memberGraceMillis) {
             onMembersChanged(it)
         }
 
@@ -70,6 +72,10 @@
     @Volatile
     private var lastLeader: String? = null
 
+    /** Whether this process is the leader that sends weight orders, as far as the key-value service tells. */
+    @Volatile
+    private var leading = false
+
     /**
      * Whether this process should try to become the leader that sends weight orders, because there is none. The last
      * leader gets a head start, as it need not wait before it sends orders again.
@@ -89,7 +95,7 @@
 
     private fun watcher(
         prefix: String,
-        pauseMillis: Long,
+        pauseMillis: () -> Long,
         graceMillis: Long,
         waitMillis: Long = watchSettings.waitMillis,
         onChange: (Map<String, KeyValueEntry>) -> Unit,
@@ -98,6 +104,27 @@
         return PrefixWatcher(prefix, drivers.store, drivers.feed, drivers.clock, timing, onChange)
     }
 
+    private fun memberPauseMillis(): Long =
+        newsPauseMillis(
+            gatewayState.members.read().members.size,
+            watchSettings.memberPauseMillis,
+            watchSettings.configurationPauseMillis,
+            watchSettings.longestMemberPauseMillis,
+        )
+
+    /** Processes that place items or order weights need to know at once which engines hold which version. */
+    private fun targetPauseMillis(): Long =
+        if (leading || runsBatches()) {
+            watchSettings.targetPauseMillis
+        } else {
+            newsPauseMillis(
+                gatewayState.members.read().members.size,
+                watchSettings.targetPausePerMemberMillis,
+                watchSettings.targetPauseMillis,
+                (watchSettings.departureMillis - watchSettings.departureMarginMillis) / 2,
+            )
+        }
+
     private fun onOperatorDocumentsChanged(entries: Map<String, KeyValueEntry>) {
         val table = drivers.documents.routes(entries)
         if (table != null && table.revision > gatewayState.routes.read().revision) {
@@ -147,6 +174,7 @@
         gatewayState.members.update { MemberList(list.associateBy { it.id }) }
         onLiveEntries(entries)
         lastLeader = entries[GatewayKeys.LAST_WEIGHT_LEADER]?.value
+        leading = entries[GatewayKeys.WEIGHT_LEADER]?.value == settings.id.value
         if (GatewayKeys.WEIGHT_LEADER in entries) {
             leadershipFreeSinceMillis.set(Long.MAX_VALUE)
         } else {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -70,6 +70,9 @@
     private val orphanAdopter: OrphanAdopter =
         OrphanAdopter(loopScope, dependencies, store, ownedBatches, localSubmissions)
 
+    /** Whether this process runs any batch. */
+    public val runsAny: Boolean get() = ownedBatches.runsAny
+
     /** Stores [record] durably and runs it, at the assigned owner of [route] or at this process. */
     public suspend fun submit(
         record: BatchRecord,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.assignedOwnerOf
 import bergamotwall.model.Alive
 import bergamotwall.model.BatchId
@@ -37,6 +38,9 @@
     private val suspectedSinceMillis = HashMap<BatchId, Long>()
     private val unconfirmedUntilMillis = HashMap<BatchId, Long>()
 
+    /** The members at the last change, null before the first one. */
+    private var lastMembers: Map<NodeId, GatewayMember>? = null
+
     /**
      * Batches that no current route matches. They can be adopted only after a change of the routes, not of the members.
      */
@@ -55,13 +59,21 @@
         }
     }
 
-    /** Requests a search after a change of the members. */
+    /**
+     * Requests a search after a change of the members, if one of them can't run its batches any more, or this is the
+     * first change. New members orphan no batch, and all processes would search for each of them.
+     */
     fun membersChanged() {
-        dependencies.shared.gatewayState.members
-            .read()
-            .members.values
-            .forEach { lastKnownAddresses[it.id] = it.peerAddress }
-        searchRequests.trySend(Unit)
+        val members = dependencies.shared.gatewayState.members.read().members
+        members.values.forEach { lastKnownAddresses[it.id] = it.peerAddress }
+        val before = lastMembers
+        lastMembers = members
+        val lost =
+            before?.values.orEmpty().any { old ->
+                val now = members[old.id]
+                old.ready && (now == null || !now.ready || now.incarnation != old.incarnation)
+            }
+        if (lost || before == null) searchRequests.trySend(Unit)
     }
 
     /**
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -36,6 +36,11 @@
     private val dispatcher = dispatcherOf(::itemEnded)
     private val rewardDispatcher: RewardDispatcher = rewardDispatcherOf(::itemEnded)
 
+    /** Whether any batch has neither ended nor been relinquished. May be read by any thread. */
+    @Volatile
+    var runsAny = false
+        private set
+
     /** Returns batch [id] if this process owns it. */
     fun find(id: BatchId): OwnedBatch? = batches[id]?.takeUnless { it.relinquished }
 
@@ -49,6 +54,7 @@
     fun add(batch: OwnedBatch) {
         batches[batch.record.id] = batch
         if (!batch.active) return
+        runsAny = true
         dispatcher.add(batch)
         if (batch.items.values.any { it.reward != null }) rewardDispatcher.add(batch)
     }
@@ -130,6 +136,7 @@
     ) {
         dispatcher.remove(batch)
         rewardDispatcher.remove(batch)
+        runsAny = active.isNotEmpty()
         dependencies.journal.record(
             Decision(
                 subject = "batch/${batch.record.id.value}",
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/AssignedOwner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/AssignedOwner.kt
@@ -1,6 +1,9 @@
 package bergamotwall.gateway.members
 
 import bergamotwall.decisions.ownerOf
+import bergamotwall.gateway.GatewayState
+import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.model.NodeId
 
 /**
  * The assigned owner of [route]: the process that runs its batches. Chosen by rendezvous hashing among the ready
@@ -17,3 +20,13 @@
     val pool = ready.filter { it.frontAddress != null }.ifEmpty { ready }
     return ownerOf(route, pool.map { it.id })?.let { members.members[it] }
 }
+
+/** Whether process [node] is the assigned owner of a route for batches, and so will run its batches. */
+internal fun isAssignedOwner(
+    node: NodeId,
+    gatewayState: GatewayState,
+): Boolean {
+    val members = gatewayState.members.read()
+    val routes = gatewayState.routes.read().routes.filter { it.kind == RouteKind.BATCH }
+    return routes.any { assignedOwnerOf(members, it.name)?.id == node }
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
@@ -28,6 +28,8 @@
     private val self: () -> GatewayMember,
 ) {
     private var lease: LeaseId? = null
+
+    @Volatile
     private var registered: GatewayMember? = null
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
@@ -49,9 +51,9 @@
             }
         }
 
-    /** Notifies that the value returned by [self] has changed. */
+    /** Notifies that the value returned by [self] may have changed. If it has, the registration is written at once. */
     public fun changed() {
-        changes.trySend(Unit)
+        if (self() != registered) changes.trySend(Unit)
     }
 
     /** Removes the registration permanently, so that other processes notice immediately. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -86,7 +86,7 @@
                     revision = response.revision
                     response.changes.forEach { apply(it) }
                     onChange(keys.current())
-                    delay(timing.coalesceMillis)
+                    delay(timing.pauseMillis())
                 }
             },
             failure = { onFailure(it) },
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -76,6 +76,9 @@
     /** The key-value service, without the injected failures. */
     val memoryStore = MemoryKeyValueStore(clock)
 
+    /** Number of listings. */
+    var lists = 0
+
     /** Whether listings fail. */
     var listsFail = false
 
@@ -94,6 +97,7 @@
     private val store =
         object : KeyValueStore by memoryStore {
             override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
+                lists++
                 // Lets other coroutines run during the call, as a network call does.
                 yield()
                 return if (listsFail) unavailable else memoryStore.list(prefix)
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphanAdopterTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphanAdopterTest.kt
@@ -68,6 +68,30 @@
         expectThat(stored.owner.value).isEqualTo(if (adopted) "self" else owner)
     }
 
+    @ParameterizedTest(name = "a member {0}: searches {1}")
+    @CsvSource("joins, false", "leaves, true", "restarts, true", "is evacuated, true", "becomes ready, false")
+    fun `only the loss of a member is a reason to search`(
+        change: String,
+        searches: Boolean,
+    ) = runTest(fixture.dispatcher) {
+        val batches = fixture.batches(this)
+        val others = List(3) { GatewayMember(NodeId("m$it"), 1, DataCentre("x"), "m$it:1", ready = it > 0) }
+        fixture.setMembers(batches, *others.toTypedArray())
+        advance(5_000)
+        val before = fixture.lists
+        val changed =
+            when (change) {
+                "joins" -> others + GatewayMember(NodeId("new"), 1, DataCentre("x"), "new:1", ready = true)
+                "leaves" -> others.dropLast(1)
+                "restarts" -> others.dropLast(1) + others.last().copy(incarnation = 2)
+                "is evacuated" -> others.dropLast(1) + others.last().copy(ready = false)
+                else -> listOf(others.first().copy(ready = true)) + others.drop(1)
+            }
+        fixture.setMembers(batches, *changed.toTypedArray())
+        advance(5_000)
+        expectThat(fixture.lists > before).isEqualTo(searches)
+    }
+
     @Test
     fun `batches of an owner that is registered as not ready are adopted`() =
         runTest(fixture.dispatcher) {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/ConfigurationNotInForceInTimeTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/ConfigurationNotInForceInTimeTest.kt
@@ -88,7 +88,7 @@
         val timing =
             WatchTiming(
                 settings.configurationWaitMillis,
-                settings.configurationPauseMillis,
+                { settings.configurationPauseMillis },
                 0,
                 settings.retryMillis,
             )
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/PrefixWatcherTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/PrefixWatcherTest.kt
@@ -56,7 +56,7 @@
                 polledRevisions += after
                 script.removeFirstOrNull() ?: awaitCancellation()
             }
-        val timing = WatchTiming(waitMillis = 1_000, coalesceMillis = 10, graceMillis = 100, retryMillis = 50)
+        val timing = WatchTiming(waitMillis = 1_000, pauseMillis = { 10 }, graceMillis = 100, retryMillis = 50)
         val watcher = PrefixWatcher("p/", store, feed, ManualClock(), timing) { snapshots += it.keys }
         val job = watcher.start(this)
         advanceTimeBy(5_000)
