Let the largest VMs own batches, and none two routes while others are free

Cause: the owner of a route's batches was chosen regardless of its VM's size, and two routes could fall to one.

Change: assignOwners, a pure policy, chooses by rendezvous hashing among the VMs with three quarters of the largest one's cores, each with one route as long as there are enough. A registration names the cores of its VM. Where all VMs are alike and no two routes collided, owners are as before.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -296,6 +296,7 @@
             frontAddress = settings.frontAddress,
             ready = ready,
             relayAddress = settings.relayAddressOrDefault,
+            cores = settings.coreShare * settings.coreSpeed,
         )
 
     private fun relayPeers(): List<RelayPeer> =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -30,6 +30,10 @@
     /** Address that serves metrics at `/metrics`; null to disable. */
     val metricsAddress: String? = null,
     val logLevel: String = "info",
+    /** Share of a core that the VM has. */
+    val coreShare: Double = 1.0,
+    /** Speed of its core, compared with those of other VMs. */
+    val coreSpeed: Double = 1.0,
     /** Event loop threads; more threads than processors only add context switches. */
     val ioThreads: Int = 1,
     /**
@@ -125,6 +129,7 @@
         "name a relayAddress",
     )
     check(settings.ioThreads in 1..MAX_THREADS, "ioThreads", "is not 1 to $MAX_THREADS", "use the number of processors")
+    check(settings.coreShare > 0 && settings.coreSpeed > 0, "coreShare", "is not positive", "use 1.0 for a core")
     check(settings.leaseTtlSeconds >= MIN_LEASE_SECONDS, "leaseTtlSeconds", "is below 2", "use 2 or more")
     check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -139,10 +139,7 @@
         val overdue = nowMillis - (suspectedSinceMillis[id] ?: nowMillis) >= ASSIGNED_OWNER_GRACE_MILLIS
         val adoptable =
             overdue ||
-                assignedOwnerOf(
-                    dependencies.shared.gatewayState.members.read(),
-                    stored.ownership.route
-                )?.id == dependencies.self().id
+                assignedOwnerOf(dependencies.shared.gatewayState, stored.ownership.route)?.id == dependencies.self().id
         return adoptable && !ownerResponds(stored.ownership) && claim(id, stored)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
@@ -62,7 +62,7 @@
         record: BatchRecord,
         route: Route,
     ): TransferOutcome {
-        val assigned = assignedOwnerOf(dependencies.shared.gatewayState.members.read(), route.name)
+        val assigned = assignedOwnerOf(dependencies.shared.gatewayState, route.name)
         if (assigned == null || assigned.id == dependencies.self().id || ownedBatches.find(record.id) != null) {
             return TransferOutcome.DECLINED
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/GatewayMember.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/GatewayMember.kt
@@ -7,7 +7,8 @@
 /**
  * Registration of a gateway process, stored under a lease. [frontAddress] is where callers connect to it, null if they
  * can't; [relayAddress] is where peers have requests to targets relayed, null if it does not relay; [ready] is false
- * while it starts, shuts down or is evacuated. Each restart has a higher [incarnation].
+ * while it starts, shuts down or is evacuated. Each restart has a higher [incarnation]. [cores] is the processor share
+ * of its VM.
  */
 @Serializable
 public data class GatewayMember(
@@ -18,4 +19,5 @@
     val frontAddress: String? = null,
     val ready: Boolean = false,
     val relayAddress: String? = null,
+    val cores: Double = 1.0,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
@@ -7,6 +7,7 @@
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.members.assignedOwnerOf
+import bergamotwall.gateway.members.batchRoutesOf
 import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.model.NodeId
@@ -68,6 +69,6 @@
     val entries = members.members.values.filter { it.ready && it.frontAddress != null }.map { it.id }
     return LimitSenders(
         entries = if (otherRoutes.isEmpty()) emptySet() else entries.toSet(),
-        owners = batchRoutes.mapNotNull { assignedOwnerOf(members, it.name)?.id }.toSet(),
+        owners = batchRoutes.mapNotNull { assignedOwnerOf(members, it.name, batchRoutesOf(routes))?.id }.toSet(),
     )
 }
