Try an item again after an unexpected error, and serve readers meanwhile

Found by reading the diff: an unexpected exception in one try of an item or a reward call left it marked as running for good, and readers were sent to the key-value service while only texts, which they don't see, were being stored.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -10,6 +10,7 @@
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.launchSupervised
+import bergamotwall.runtime.recovering
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -87,7 +88,10 @@
         dispatched.item.attempts++
         dispatched.batch.groupTargets[dispatched.item.spec.group] = target.id
         scope.launch {
-            val outcome = runner.run(dispatched.batch, dispatched.item, target)
+            val outcome =
+                recovering("item", { ItemOutcome.Broken("unexpected: $it") }) {
+                    runner.run(dispatched.batch, dispatched.item, target)
+                }
             dispatched.item.running = false
             dispatched.item.endedAtMillis = dependencies.clock.monotonicMillis()
             handleOutcome(dispatched, target, outcome)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
@@ -52,7 +52,8 @@
             )
         var retries = 0
         while (batch.active) {
-            batch.appendUnresolved = true
+            // Readers see no texts that wait for their scores.
+            batch.appendUnresolved = append.results.isNotEmpty()
             when (store.append(batch.record.id, batch.ownershipRecord.revision, append)) {
                 AppendOutcome.APPENDED -> {
                     batch.appendUnresolved = false
--- a/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
@@ -13,6 +13,7 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.ServiceName
 import bergamotwall.runtime.launchSupervised
+import bergamotwall.runtime.recovering
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.channels.Channel
@@ -147,7 +148,10 @@
         // Started lazily, so that the call counts as in flight before it runs.
         val job =
             scope.launch(start = CoroutineStart.LAZY) {
-                val outcome = caller.send(pending.reward.call, route, timeoutMillis)
+                val outcome =
+                    recovering("reward call", { RewardOutcome.Failed("unexpected: $it", 0) }) {
+                        caller.send(pending.reward.call, route, timeoutMillis)
+                    }
                 pending.reward.job = null
                 handleOutcome(pending, route, outcome, dependencies.clock.monotonicMillis() - nowMillis)
                 wake()
--- a/gateway/src/test/kotlin/bergamotwall/gateway/rewards/RewardedBatchesTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/rewards/RewardedBatchesTest.kt
@@ -7,6 +7,7 @@
 import bergamotwall.gateway.batches.EndOutcome
 import bergamotwall.gateway.batches.ItemPhase
 import bergamotwall.gateway.batches.OwnedBatch
+import bergamotwall.gateway.batches.ReadOutcome
 import bergamotwall.gateway.batches.ResultAppend
 import bergamotwall.gateway.batches.StreamEvent
 import bergamotwall.gateway.forwarding.CallerRequest
@@ -88,6 +89,19 @@
             expectThat(storedResults()).containsExactly("text/s")
         }
 
+    @Test
+    fun `readers are not sent to the key-value service while only texts are being stored`() =
+        runTest(fixture.dispatcher) {
+            answerCalls { scored("s") }
+            val batches = submitted(fixture.batches(this))
+            fixture.writesFail = true
+            generate(batches)
+            advanceTimeBy(1_000)
+            val before = fixture.lists
+            expectThat(batches.read(fixture.id, 0, 0)).isA<ReadOutcome.Page>()
+            expectThat(fixture.lists).isEqualTo(before)
+        }
+
     @ParameterizedTest(name = "{0}: {1}, {2} calls")
     @CsvSource(
         "scored, text/s, 1",
@@ -100,6 +114,7 @@
         "failed:2 not-run timed-out failed:1, errored, 4",
         "unsigned scored, text/s, 2",
         "status-404 scored, text/s, 2",
+        "throws scored, text/s, 2",
     )
     fun `a call is repeated until it is scored or has failed as often as its route allows`(
         answers: String,
@@ -239,6 +254,7 @@
             "timed-out" -> ForwardOutcome.TimedOut("deadline")
             "not-run" -> ForwardOutcome.NotRun("full", 250)
             "unsigned" -> ForwardOutcome.Completed(head(200, null), ByteArray(0))
+            "throws" -> error("unexpected")
             "status-404" -> ForwardOutcome.Completed(head(404, "s"), ByteArray(0))
             else -> error("no such answer: $kind")
         }
--- a/runtime/src/main/kotlin/bergamotwall/runtime/SupervisedLoops.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/SupervisedLoops.kt
@@ -38,6 +38,26 @@
         }
     }
 
+/**
+ * Runs [work], part of the work called [name]. An exception that nothing expects is logged and counted like that of a
+ * loop, and [onFailure] tells what follows from it, so that it does not end the caller.
+ */
+public suspend fun <T> recovering(
+    name: String,
+    onFailure: (Exception) -> T,
+    work: suspend () -> T,
+): T =
+    try {
+        work()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (
+        @Suppress("TooGenericExceptionCaught") e: Exception,
+    ) {
+        failed(name, e)
+        onFailure(e)
+    }
+
 private suspend fun completes(
     name: String,
     run: suspend CoroutineScope.() -> Unit,
