--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -63,16 +63,16 @@
 public data class WatchSettings(
     /** Maximum duration of one long poll: a dead connection is detected after this time plus [marginMillis]. */
     val waitMillis: Long = 4_000,
-    /**
-     * The same for the configuration, which must be applied within three seconds after a path to the key-value service
-     * works again.
-     */
-    val configurationWaitMillis: Long = 1_500,
     /**
      * A process that has not known its configuration to be the newest for this long answers 503, not 404, where no
      * route matches. A change must be applied within this time.
      */
     val configurationStaleMillis: Long = 2_000,
+    /**
+     * The same as [waitMillis] for the configuration: a dead connection is detected, and another path is used, within
+     * the time in which a change must be applied.
+     */
+    val configurationWaitMillis: Long = configurationStaleMillis * CONFIGURATION_WAIT_PERCENT / PERCENT,
     /** How much longer than its long poll a call may take. */
     val marginMillis: Long = 500,
     /** Pause after a configuration change, and the shortest one after a change of members. */
@@ -139,3 +139,7 @@
 
 private const val MAX_THREADS = 64
 private const val MIN_LEASE_SECONDS = 2L
+
+/** The rest of the time in which a change must be applied is left for the margin of a poll. */
+private const val CONFIGURATION_WAIT_PERCENT = 75
+private const val PERCENT = 100
