--- a/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
@@ -22,7 +22,7 @@
 
 /**
  * Has the stored texts of all owned batches scored: sends the reward calls of their items, as many at once as leave
- * room to callers, and repeats them until they have a score or have failed for good. [onItemDone] is called with the
+ * room to callers, and repeats them until they have a score or have failed permanently. [onItemDone] is called with the
  * batch of each item that is done. Confined to the batch loop, on which [scope] runs.
  */
 internal class RewardDispatcher(
--- a/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
@@ -1,5 +1,6 @@
 package bergamotwall.peers
 
+import bergamotwall.model.NetworkAddress
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
@@ -43,9 +44,8 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val server =
         runBlocking {
-            // Port 0 binds any free port, so this is not a NetworkAddress.
-            val local = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
-            aSocket(selector).tcp().bind(local) { reuseAddress = true }
+            val local = NetworkAddress.ofServer(address)
+            aSocket(selector).tcp().bind(InetSocketAddress(local.host, local.port)) { reuseAddress = true }
         }
 
     private val sentBytes = AtomicLong()
--- a/standins/src/main/kotlin/bergamotwall/standins/Servers.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/Servers.kt
@@ -1,8 +1,8 @@
 package bergamotwall.standins
 
+import bergamotwall.model.NetworkAddress
 import com.linecorp.armeria.server.Server
 import com.linecorp.armeria.server.ServerBuilder
-import java.net.InetSocketAddress
 import java.time.Duration
 
 private const val QUIET_PERIOD_MILLIS = 100L
@@ -13,12 +13,10 @@
     address: String,
     routes: (ServerBuilder) -> Unit,
 ): Server {
-    val host = address.substringBeforeLast(':')
-    val port = address.substringAfterLast(':').toInt()
     val builder =
         Server
             .builder()
-            .http(InetSocketAddress(host, port))
+            .http(NetworkAddress.ofServer(address).toSocketAddress())
             .requestTimeoutMillis(0)
             .maxRequestLength(0)
             .gracefulShutdownTimeout(Duration.ofMillis(QUIET_PERIOD_MILLIS), Duration.ofMillis(STOP_TIMEOUT_MILLIS))
