--- a/review/harness/StoreStandIn.java
+++ b/review/harness/StoreStandIn.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** The platform's metadata store, as its page describes it: sound and fast. */
 final class StoreStandIn extends HttpServer {
@@ -34,6 +35,8 @@
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Event> events = new ArrayList<>();
+    /** Channels of waiting watches, with their prefixes. */
+    private final Map<Socket, String> waiting = new ConcurrentHashMap<>();
     private long revision = 400;
     private long lastLease = 77_000;
 
@@ -67,6 +70,13 @@
         return item == null ? null : Json.object(text(item));
     }
 
+    /** Cuts the watches on [prefix] that are waiting: their channels are closed without an answer. */
+    void cutWatches(String prefix) throws IOException {
+        for (Map.Entry<Socket, String> watch : waiting.entrySet()) {
+            if (watch.getValue().equals(prefix)) watch.getKey().close();
+        }
+    }
+
     /** How long the lease of [key] still runs, in milliseconds; 0 if the key is absent or has none. */
     synchronized long leaseLeftMillis(String key) {
         Item item = items.get(key);
@@ -86,8 +96,10 @@
         int status;
         Map<String, Object> body;
         if (path.equals("/api/kv-watch")) {
-            body = watch(request.query("pathPrefix"), Long.parseLong(request.query("after")),
-                    Long.parseLong(request.query("waitMs")));
+            String prefix = request.query("pathPrefix");
+            waiting.put(socket, prefix);
+            body = watch(prefix, Long.parseLong(request.query("after")), Long.parseLong(request.query("waitMs")));
+            waiting.remove(socket);
             status = 200;
         } else {
             Object[] answer = answer(request, path);
