--- a/review/harness/EndedBatch.java
+++ b/review/harness/EndedBatch.java
@@ -75,7 +75,8 @@
 
         long fromMillis = Math.max(endedAtMillis + CANCEL_MILLIS, thawedAtMillis + CONTACT_MILLIS);
         long late = fleet.runs.stream().filter(run -> run.startedAtMillis > fromMillis).count();
-        Record.log("the end was acknowledged at %d; %d items began to run later than %d", endedAtMillis, late, fromMillis);
+        Record.log("the end was acknowledged at %d; %d items began to run later than %d", endedAtMillis, late,
+                fromMillis);
         return late == 0;
     }
 
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -66,7 +66,9 @@
         long endMillis = System.currentTimeMillis() + 40_000;
         for (Node entry : entries) {
             while (!isReady(entry)) {
-                if (System.currentTimeMillis() > endMillis) throw new IllegalStateException(entry.name + " isn't ready");
+                if (System.currentTimeMillis() > endMillis) {
+                    throw new IllegalStateException(entry.name + " isn't ready");
+                }
                 Thread.sleep(100);
             }
         }
--- a/review/harness/Retained.java
+++ b/review/harness/Retained.java
@@ -22,13 +22,16 @@
     /** Characters of an event: the most and the mean that the site file names. */
     private static final int EVENT_CHARS = TROUBLE ? 2_300 : 390;
     private static final int STEP_MILLIS = 4_000;
-    private static final int LENGTH_MILLIS = 65_000;
+    private static final int LENGTH_MILLIS = 80_000;
     private static final int DEADLINE_MILLIS = 12_000;
     private static final int CALLERS = 16;
     private static final int TTL_MILLIS = 2_000;
     private static final int TIMEOUT_MILLIS = 2_000;
     private static final int SLACK_MILLIS = 500;
     private static final int MANY = 8;
+    private static final int HANG_MILLIS = 15_000;
+
+    private volatile long answeredAtMillis;
 
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger late = new AtomicInteger();
@@ -86,38 +89,50 @@
             int number = i;
             HttpServer.daemon(() -> calls(fleet, number));
         }
-        for (int step = 0; Record.now() < LENGTH_MILLIS && owner.alive(); step++) {
+        HttpServer.daemon(() -> check(owner));
+        for (int step = 0; Record.now() < LENGTH_MILLIS && owner.alive() && !hangs(); step++) {
             if (step > 0) submit(fleet, step);
             int number = step;
             HttpServer.daemon(() -> readAndEnd(fleet, number));
             for (int i = 0; i < STEP_MILLIS / 100 && owner.alive(); i++) Thread.sleep(100);
         }
         boolean alive = owner.alive();
-        boolean answers = alive && answers(owner);
+        boolean answers = alive && !hangs();
         if (!alive) Record.log("%s ended by itself with exit code %d", owner.name, owner.exitCode());
         for (String line : fleet.log(owner).split("\n")) {
             if (line.contains("OutOfMemory")) {
                 Record.log("log of %s: %s", owner.name, line.length() > 200 ? line.substring(0, 200) : line);
             }
         }
-        Record.log("%d requests had an answer in time, %d were still unanswered at the route's timeoutMs, %d of these also "
-                + "%d ms later", answered.get(), late.get() + unanswered.get(), unanswered.get(), SLACK_MILLIS);
-        Record.log("%s %s", owner.name, answers ? "answers" : alive ? "is alive and answers no call" : "has ended");
+        Record.log("%d requests were answered in time, %d were not at timeoutMs, %d of them also %d ms later",
+                answered.get(), late.get() + unanswered.get(), unanswered.get(), SLACK_MILLIS);
+        if (alive) {
+            Record.log("%s is alive and answered its last readiness check %d ms ago", owner.name,
+                    Record.now() - answeredAtMillis);
+        }
         return answers && (unanswered.get() < MANY || unanswered.get() * 2 <= late.get() + unanswered.get());
     }
 
-    /** Whether [node] answers the platform's own check, which comes once a second. */
-    private static boolean answers(Fleet.Node node) throws InterruptedException {
-        for (int i = 0; i < 5; i++) {
+    /** Calls the readiness check of [node] once a second, as the platform does. */
+    private void check(Fleet.Node node) {
+        answeredAtMillis = Record.now();
+        while (node.alive()) {
             try {
                 Http.call(node.ready, "GET", "/api/readyz", Map.of("Host", node.ready), new byte[0], 2_000);
-                return true;
+                answeredAtMillis = Record.now();
             } catch (IOException e) {
                 Record.log("readiness check at %s: %s", node.name, e);
             }
-            Thread.sleep(1_000);
+            try {
+                Thread.sleep(1_000);
+            } catch (InterruptedException e) {
+                return;
+            }
         }
-        return false;
+    }
+
+    private boolean hangs() {
+        return Record.now() - answeredAtMillis > HANG_MILLIS;
     }
 
     private static String batch(int step) {
@@ -138,7 +153,7 @@
         }
     }
 
-    /** Reads twice a second, at another entry, until all groups that the trainer waits for are there, or its deadline. */
+    /** Reads twice a second, at another entry, until all results are there, or the trainer's deadline. */
     private static void readAndEnd(Fleet fleet, int step) {
         long untilMillis = Record.now() + DEADLINE_MILLIS;
         int read = 0;
--- a/review/harness/StaleReader.java
+++ b/review/harness/StaleReader.java
@@ -100,7 +100,8 @@
     private static void submit(Fleet fleet, String batch, int count) throws Exception {
         List<Object> items = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            items.add(Fleet.item(batch.substring(10) + String.format("c%08d", i), PREFIX + "1/" + i, "g" + i / 4, MODEL));
+            String id = batch.substring(10) + String.format("c%08d", i);
+            items.add(Fleet.item(id, PREFIX + "1/" + i, "g" + i / 4, MODEL));
         }
         int accepted = fleet.submit(fleet.entries.get(0), PREFIX, batch, MODEL, items);
         if (accepted != 202) throw new IllegalStateException("the batch was answered " + accepted);
