--- a/review/harness/CrashingRequest.java
+++ b/review/harness/CrashingRequest.java
@@ -54,8 +54,8 @@
     @Override
     boolean play() throws Exception {
         Fleet fleet = new Fleet();
-        fleet.replicas.add(new Replica(fleet, "i-0001", "gent-dock"));
-        fleet.replicas.add(new Replica(fleet, "i-0002", "antwerp-dock"));
+        fleet.replicas.add(new Replica(fleet, "i-0001", "dakar-a"));
+        fleet.replicas.add(new Replica(fleet, "i-0002", "dakar-b"));
         Map<String, Object> route = Fleet.route("r-desk", PREFIX, "idempotent", "desk", 1_500, 185);
         route.put("maxAttempts", 2L);
         fleet.configure(List.of(route), List.of(Fleet.service("desk", null)));
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -42,7 +42,7 @@
     }
 
     static final String HOST = "review.example";
-    static final String[] ZONES = {"gent-dock", "antwerp-dock", "leuven-dock"};
+    static final String[] ZONES = {"dakar-a", "dakar-b", "thies-a", "rufisque-a"};
 
     private static final SecureRandom RANDOM = new SecureRandom();
 
--- a/review/harness/ForwardedQuery.java
+++ b/review/harness/ForwardedQuery.java
@@ -32,8 +32,8 @@
     @Override
     boolean play() throws Exception {
         Desk fleet = new Desk();
-        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0001", "desk", "gent-dock", 6, null));
-        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0002", "desk", "antwerp-dock", 6, null));
+        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0001", "desk", "dakar-a", 6, null));
+        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0002", "desk", "dakar-b", 6, null));
         fleet.configure(List.of(Fleet.route("r-desk", PREFIX, "non_idempotent", "desk", 1_500, 185)),
                 List.of(Fleet.service("desk", null)));
         fleet.start(3);
--- a/review/harness/Leaving.java
+++ b/review/harness/Leaving.java
@@ -50,8 +50,8 @@
     @Override
     boolean play() throws Exception {
         Fleet fleet = new Engines();
-        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0001", "engines", "gent-dock", 12, MODEL));
-        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0002", "engines", "antwerp-dock", 12, MODEL));
+        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0001", "engines", "dakar-a", 12, MODEL));
+        fleet.replicas.add(new ReplicaStandIn(fleet, "i-0002", "engines", "dakar-b", 12, MODEL));
         fleet.configure(
                 List.of(Fleet.route("r-ask", PREFIX, "streaming", "engines", 10_000, 500, "sticky", true, "resumable",
                         true)),
@@ -79,7 +79,7 @@
     /** Asks the directory at another entry; returns how long its answer is valid, if that names [entry]. */
     private static long resolve(Fleet fleet, Fleet.Node entry) throws Exception {
         Http.Message answer = fleet.call(fleet.entries.get(1), "GET",
-                "/api/resolve?name=" + Fleet.HOST + "&region=be-flanders&zone=gent-dock", null, new byte[0], 1_000);
+                "/api/resolve?name=" + Fleet.HOST + "&region=sn-ouest&zone=dakar-a", null, new byte[0], 1_000);
         Map<String, Object> fields = Json.object(answer.text());
         boolean named = ((List<?>) fields.get("addresses")).contains(entry.front);
         if (!named) throw new IllegalStateException("the directory does not name the entry");
