Let an owner act on a batch only with a recent proof that it still owns it

Callers saw: items of a batch began to run more than three seconds after its end was acknowledged (UNASKED), and readers got no results at positions that they had read (LOST).

Cause: a process that owned a batch learned that another one had taken it over or ended it only when it stored its next result, a quarter of a second after the slot that this result freed had been given to the next item. Nothing bounded the time between two results. It needs no pause: an entry that can't reach the owner ends the batch in the key-value service only.

Ruled out: that the new owner misses the end (all late items came from the former owner); telling the former owner (it does not respond then, and older builds would not tell it); the lapse of the lease as the only signal (a batch can end without a change of its owner).

Change: OwnershipPolicy. A record is read again a third of batches.endMillis after its last proof; after two thirds no item or reward call is sent, and readers that would be told that there are no results are sent to the key-value service. Stored results, creations and adoptions are proofs as of the time at which their call was sent. Ages count on both clocks.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -133,6 +133,7 @@
     check(settings.leaseTtlSeconds >= MIN_LEASE_SECONDS, "leaseTtlSeconds", "is below 2", "use 2 or more")
     check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
+    check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return problems
 }
@@ -140,6 +141,9 @@
 private const val MAX_THREADS = 64
 private const val MIN_LEASE_SECONDS = 2L
 
+/** Less would need a read of each batch's record several times a second. */
+private const val MIN_END_MILLIS = 1_000L
+
 /** The rest of the time in which a change must be applied is left for the margin of a poll. */
 private const val CONFIGURATION_WAIT_PERCENT = 75
 private const val PERCENT = 100
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchPeerHandler.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchPeerHandler.kt
@@ -19,7 +19,6 @@
 internal class BatchPeerHandler(
     private val ownedBatches: OwnedBatches,
     private val submissionRouter: SubmissionRouter,
-    private val pageChars: Int,
 ) {
     /** Returns the response to [message], or null if the message is not about batches. */
     suspend fun handle(message: PeerMessage): PeerMessage? =
@@ -28,7 +27,7 @@
             is ReadBatch ->
                 ownedBatches
                     .find(message.batch)
-                    ?.let { it.page(message.after, message.waitMillis, pageChars) }
+                    ?.let { ownedBatches.pages.read(it, message.after, message.waitMillis) }
                     ?: NotOwner // the caller reads the key-value service instead
             is FetchItem -> ownedBatches.find(message.batch)?.let { ItemBody(it.body(message.item)) } ?: NotOwner
             is EndBatch -> ownedBatches.find(message.batch)?.let { endResponse(ownedBatches.end(it)) } ?: NotOwner
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -37,6 +37,11 @@
      * expects the response within 500 ms.
      */
     val handOverMillis: Long = 250,
+    /**
+     * How long after the end of a batch its items may still reach targets. An owner that was not told of the end learns
+     * of it in this time.
+     */
+    val endMillis: Long = 3_000,
     /** Longest wait for the response of a batch's owner, after which the key-value service is read instead. */
     val peerTimeoutMillis: Long = 700,
     val rewards: RewardSettings = RewardSettings(),
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -66,7 +66,7 @@
             orphanAdopter.watchUnconfirmed(it)
         }
     private val submissionRouter = SubmissionRouter(dependencies, settings, ownedBatches, localSubmissions)
-    private val peerHandler = BatchPeerHandler(ownedBatches, submissionRouter, settings.pageChars)
+    private val peerHandler = BatchPeerHandler(ownedBatches, submissionRouter)
     private val orphanAdopter: OrphanAdopter =
         OrphanAdopter(loopScope, dependencies, store, ownedBatches, localSubmissions)
 
@@ -89,7 +89,7 @@
         withContext(loop) {
             val owned = ownedBatches.find(batch)
             if (owned != null) {
-                val page = owned.page(after, waitMillis, settings.pageChars)
+                val page = ownedBatches.pages.read(owned, after, waitMillis)
                 return@withContext if (page != null) ReadOutcome.Page(page) else remoteBatches.read(batch, after, 0)
             }
             val response =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -57,7 +57,7 @@
 
     private fun dispatchWaitingItems() {
         val nowMillis = dependencies.clock.monotonicMillis()
-        val items = batches.filter { it.active }.flatMap { batch -> dispatchableItems(batch, nowMillis) }
+        val items = batches.filter { it.maySend }.flatMap { batch -> dispatchableItems(batch, nowMillis) }
         if (items.isEmpty()) return
         val targets = dependencies.gatewayState.targets.read()
         val services = items.flatMap { it.batch.route.shares }.map { it.service }.distinct()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -5,6 +5,7 @@
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
 import bergamotwall.runtime.Decision
+import bergamotwall.runtime.read
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -94,7 +95,8 @@
                 acceptedAtMillis = dependencies.shared.clock.wallMillis(),
                 route = route.name,
             )
-        val deadlineMillis = dependencies.shared.clock.monotonicMillis() + settings.acceptMillis
+        val sentAt = dependencies.shared.clock.read()
+        val deadlineMillis = sentAt.monotonicMillis + settings.acceptMillis
         val outcome =
             creator.create(
                 record,
@@ -106,7 +108,7 @@
                 ownedBatches.add(
                     OwnedBatch(
                         record,
-                        outcome.record,
+                        ownedBatches.known(outcome.record, sentAt),
                         route,
                         dependencies.shared.clock.monotonicMillis(),
                         emptyList(),
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -10,6 +10,7 @@
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.launchSupervised
+import bergamotwall.runtime.read
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.CoroutineScope
@@ -160,9 +161,10 @@
     ): Boolean {
         val self = dependencies.self()
         val claimed = stored.ownership.copy(owner = self.id, incarnation = self.incarnation)
+        val sentAt = dependencies.shared.clock.read()
         val outcome = store.replace(id, stored.revision, claimed).get()
         return outcome is TransactionOutcome.Committed &&
-            loadAndRun(id, stored, OwnershipRecord(claimed, outcome.revision))
+            loadAndRun(id, stored, ownedBatches.known(OwnershipRecord(claimed, outcome.revision), sentAt))
     }
 
     /**
@@ -171,9 +173,9 @@
     private suspend fun loadAndRun(
         id: BatchId,
         stored: OwnershipRecord,
-        claimed: OwnershipRecord,
+        claimed: KnownOwnership,
     ): Boolean {
-        val record = store.items(id, claimed.ownership).get()
+        val record = store.items(id, claimed.record.ownership).get()
         val results = store.results(id).get()
         val texts = if (record?.items.orEmpty().any { it.reward != null }) store.texts(id).get() else emptyList()
         val route = record?.let { dependencies.shared.gatewayState.routes.read().find(it.host, it.path) }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -8,8 +8,7 @@
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
 import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.flow.StateFlow
 
 /**
  * A batch that this process runs: the state of its items, and its results, which are first pending and then stored
@@ -20,7 +19,7 @@
  */
 internal class OwnedBatch(
     val record: BatchRecord,
-    var ownershipRecord: OwnershipRecord,
+    val known: KnownOwnership,
     var route: Route,
     val acceptedAtMillis: Long,
     stored: List<ItemResult>,
@@ -31,6 +30,9 @@
     private val pendingForScoring = ArrayDeque<ItemResult>()
     private val storedCount = MutableStateFlow(stored.size)
 
+    /** Number of results that are stored durably, as it changes. */
+    val storedCounts: StateFlow<Int> get() = storedCount
+
     /** Items by id, in the order of the batch. */
     val items: Map<ItemId, ItemState> = record.items.associate { it.id to ItemState(it) }
 
@@ -45,7 +47,7 @@
     val placement = PlacementSummary()
 
     /** Whether the trainer has ended the batch. */
-    var ended = ownershipRecord.ownership.ended
+    var ended = known.record.ownership.ended
 
     /** Whether this process has stopped running the batch, because another process may own it. */
     var relinquished = false
@@ -53,6 +55,15 @@
     /** Whether items may still be sent. */
     val active: Boolean get() = !ended && !relinquished
 
+    /** Whether items may be sent now: it is known recently enough that no other process has taken over the batch. */
+    val maySend: Boolean get() = active && known.mayStartWork
+
+    /** Whether all results are stored durably. */
+    val complete: Boolean get() = results.size == record.items.size
+
+    /** Whether no process can add results any more. */
+    val settled: Boolean get() = known.record.ownership.ended || complete
+
     /** When all results are due, on the monotonic clock. */
     val dueAtMillis: Long get() = acceptedAtMillis + (route.batch?.runTargetMillis ?: 0)
 
@@ -144,18 +155,15 @@
     }
 
     /**
-     * Returns the results from position [after] on that fit in [maxChars], waiting up to [waitMillis] for the first
-     * one. Returns null if there is none but the key-value service may hold some.
+     * Returns the results from position [after] on that fit in [maxChars]. Returns null if there is none but the
+     * key-value service may hold some.
      */
-    suspend fun page(
+    fun page(
         after: Int,
-        waitMillis: Long,
         maxChars: Int,
     ): BatchPage? {
-        if (results.size <= after && waitMillis > 0 && results.size < record.items.size) {
-            withTimeoutOrNull(waitMillis) { storedCount.first { it > after } }
-        }
-        val mayLackResults = results.size <= after && appendUnresolved
+        val otherMayAppend = !settled && (relinquished || !known.current)
+        val mayLackResults = results.size <= after && (appendUnresolved || otherMayAppend)
         return if (mayLackResults) null else pageOf(record.items.size, results, after, maxChars)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -1,13 +1,14 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.decisions.OwnershipPolicy
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.rewards.RewardDispatcher
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchId
+import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.Decision
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 
 /**
@@ -24,15 +25,14 @@
     rewardDispatcherOf: ((OwnedBatch) -> Unit) -> RewardDispatcher,
 ) {
     private val batches = HashMap<BatchId, OwnedBatch>()
+    private val policy = OwnershipPolicy(settings.endMillis)
+    private val checks: OwnershipChecks =
+        OwnershipChecks(scope, store, { batches.values }, ::ownershipRead, onFailed = ::wake)
     private val resultAppender: ResultAppender =
-        ResultAppender(
-            scope,
-            store,
-            settings,
-            { relinquish(it, "another process owns it") },
-            ::ownershipChanged,
-            onTextsStored = { rewardDispatcher.wake() },
-        )
+        ResultAppender(scope, store, settings, ::ownershipRead, onTextsStored = { rewardDispatcher.wake() })
+
+    /** Pages of the results of owned batches. */
+    val pages = ResultPages(checks, settings.pageChars)
     private val dispatcher = dispatcherOf(::itemEnded)
     private val rewardDispatcher: RewardDispatcher = rewardDispatcherOf(::itemEnded)
 
@@ -44,6 +44,12 @@
     /** Returns batch [id] if this process owns it. */
     fun find(id: BatchId): OwnedBatch? = batches[id]?.takeUnless { it.relinquished }
 
+    /** What is known of the ownership of a batch after this process wrote [record] with a call sent at [sentAt]. */
+    fun known(
+        record: OwnershipRecord,
+        sentAt: ClockReading,
+    ): KnownOwnership = KnownOwnership(record, dependencies.clock, policy, sentAt)
+
     /** Updates the batches to the current routes. */
     fun routesChanged(table: RouteTable) {
         batches.values.forEach { batch -> table.find(batch.record.host, batch.record.path)?.let { batch.route = it } }
@@ -55,12 +61,16 @@
         batches[batch.record.id] = batch
         if (!batch.active) return
         runsAny = true
+        checks.wake()
         dispatcher.add(batch)
         if (batch.items.values.any { it.reward != null }) rewardDispatcher.add(batch)
     }
 
     /** Has the text or result of an item of [batch] stored durably, which has just become known. */
-    fun itemEnded(batch: OwnedBatch): Unit = resultAppender.scheduleAppend(batch)
+    fun itemEnded(batch: OwnedBatch) {
+        checks.wake()
+        resultAppender.scheduleAppend(batch)
+    }
 
     /** Triggers a dispatch, because something that placement depends on has changed. */
     fun wake() {
@@ -92,42 +102,46 @@
                 dependencies.clock.monotonicMillis() + settings.acceptMillis,
             )
         while (retries.awaitNext()) {
-            if (batch.ownershipRecord.ownership.ended) return EndOutcome.Ended
-            val ended = batch.ownershipRecord.ownership.copy(ended = true)
-            val outcome = store.replace(batch.record.id, batch.ownershipRecord.revision, ended)
+            if (batch.known.record.ownership.ended) return EndOutcome.Ended
+            val ended = batch.known.record.ownership.copy(ended = true)
+            val outcome = store.replace(batch.record.id, batch.known.record.revision, ended)
             outcome.fold(
                 success = {
-                    if (it is TransactionOutcome.Committed) batch.ownershipRecord = OwnershipRecord(ended, it.revision)
+                    if (it is TransactionOutcome.Committed) batch.known.record = OwnershipRecord(ended, it.revision)
                 },
                 failure = { },
             )
-            if (!batch.ownershipRecord.ownership.ended) refreshOwnership(batch)
+            if (!batch.known.record.ownership.ended) checks.check(batch)
         }
-        return if (batch.ownershipRecord.ownership.ended) {
+        return if (batch.known.record.ownership.ended) {
             EndOutcome.Ended
         } else {
             EndOutcome.Unavailable("the end is not stored durably yet")
         }
     }
 
-    private fun ownershipChanged(
+    /** Applies the ownership record of [batch] as [stored], requested at [sentAt]. */
+    private fun ownershipRead(
         batch: OwnedBatch,
-        stored: OwnershipRecord,
+        stored: OwnershipRecord?,
+        sentAt: ClockReading,
     ) {
-        batch.ownershipRecord = stored
-        if (stored.ownership.ended) {
+        val own = batch.known.record
+        // The record was read before this process wrote the one that it knows.
+        if (stored != null && stored.revision < own.revision) return
+        val owner = stored?.ownership
+        if (owner == null || owner.owner != own.ownership.owner || owner.incarnation != own.ownership.incarnation) {
+            if (!batch.relinquished) relinquish(batch, "owned by ${owner?.owner?.value}")
+        } else {
+            batch.known.confirmed(sentAt)
+        }
+        if (stored == null) return
+        batch.known.record = stored
+        if (stored.ownership.ended && batch.active) {
             batch.ended = true
             stopRuns(batch, "ended through another process")
         }
-    }
-
-    private suspend fun refreshOwnership(batch: OwnedBatch) {
-        val stored = store.ownership(batch.record.id).getOrElse { return } ?: return
-        val own = batch.ownershipRecord.ownership
-        if (stored.ownership.owner != own.owner || stored.ownership.incarnation != own.incarnation) {
-            relinquish(batch, "owned by ${stored.ownership.owner.value}")
-        }
-        batch.ownershipRecord = stored
+        wake()
     }
 
     private fun stopRuns(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.model.BatchId
 import bergamotwall.model.ItemResult
+import bergamotwall.runtime.ClockReading
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -9,16 +10,15 @@
 
 /**
  * Stores results of owned batches, and texts that are to be scored, durably, in one call for those that complete within
- * `gatherMillis`. Calls [onOwnershipLost] if another process owns the batch, [onRecordChanged] if this process still
- * owns it but the ownership record was changed, and [onTextsStored] when texts may be scored. Confined to the batch
- * loop, on which [scope] runs.
+ * `gatherMillis`. Calls [onRecordRead] with the ownership record, null if there is none, and the time at which it was
+ * requested, if the record was changed; and [onTextsStored] when texts may be scored. Confined to the batch loop, on
+ * which [scope] runs.
  */
 internal class ResultAppender(
     private val scope: CoroutineScope,
     private val store: BatchStore,
     private val settings: BatchSettings,
-    private val onOwnershipLost: (OwnedBatch) -> Unit,
-    private val onRecordChanged: (OwnedBatch, OwnershipRecord) -> Unit,
+    private val onRecordRead: (OwnedBatch, OwnershipRecord?, ClockReading) -> Unit,
     private val onTextsStored: () -> Unit = { },
 ) {
     private val appending = HashSet<BatchId>()
@@ -50,14 +50,17 @@
                 textNumber = batch.storedTextCount,
                 texts = chunkOf(batch.pendingTexts),
             )
+        // Each call that stores the chunks, this one or a retry, is made after this moment.
+        val firstSentAt = batch.known.now()
         var retries = 0
         while (batch.active) {
             // Readers see no texts that wait for their scores.
             batch.appendUnresolved = append.results.isNotEmpty()
-            when (store.append(batch.record.id, batch.ownershipRecord.revision, append)) {
+            when (store.append(batch.record.id, batch.known.record.revision, append)) {
                 AppendOutcome.APPENDED -> {
                     batch.appendUnresolved = false
                     batch.markStored(append)
+                    batch.known.confirmed(firstSentAt)
                     return if (append.texts.isEmpty()) Unit else onTextsStored()
                 }
                 AppendOutcome.FENCED -> {
@@ -82,10 +85,9 @@
     }
 
     private suspend fun handleFenced(batch: OwnedBatch) {
+        val sentAt = batch.known.now()
         val stored = store.ownership(batch.record.id).getOrElse { return delay(FIRST_RETRY_MILLIS) }
-        val own = batch.ownershipRecord.ownership
-        val ours = stored?.ownership?.let { it.owner == own.owner && it.incarnation == own.incarnation } ?: false
-        if (stored == null || !ours) onOwnershipLost(batch) else onRecordChanged(batch, stored)
+        onRecordRead(batch, stored, sentAt)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
@@ -65,7 +65,7 @@
     private fun dispatch(): Boolean {
         val nowMillis = dependencies.clock.monotonicMillis()
         val unsent =
-            batches.filter { it.active }.flatMap { batch ->
+            batches.filter { it.maySend }.flatMap { batch ->
                 batch.items.values.mapNotNull { item -> pendingReward(batch, item) }
             }
         unsent
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -8,7 +8,9 @@
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Clock
+import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.launchSupervised
+import bergamotwall.runtime.read
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -53,7 +55,7 @@
         }
 
     private suspend fun list() {
-        val sent = Instant(clock)
+        val sent = clock.read()
         store.list(prefix).fold(
             success = { listing ->
                 onSuccess()
@@ -69,16 +71,20 @@
     private suspend fun poll(fromRevision: Long) {
         val dueMillis = keys.expiryAtMillis()?.let { it - clock.monotonicMillis() } ?: timing.waitMillis
         val waitMillis = if (failing) 0 else dueMillis.coerceIn(1, timing.waitMillis)
-        val sent = Instant(clock)
+        val sent = clock.read()
         feed.changes(prefix, fromRevision, waitMillis).fold(
             success = { response ->
                 onSuccess()
-                val received = Instant(clock)
+                val received = clock.read()
                 // A response without changes may have been delayed since the end of the wait. If the VM was suspended,
                 // the response may have been waiting for it all the while.
                 val waitedMillis = if (response.changes.isEmpty()) waitMillis else Long.MAX_VALUE
                 val provenMillis =
-                    if (sent.suspendedUntil(received)) 0 else minOf(waitedMillis, received.millis - sent.millis)
+                    if (sent.suspendedMillisUntil(received) > SUSPENSION_MILLIS) {
+                        0
+                    } else {
+                        minOf(waitedMillis, received.monotonicMillis - sent.monotonicMillis)
+                    }
                 confirm(sent, provenMillis, response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
@@ -95,11 +101,11 @@
 
     /** Records the proof that the entries were current [afterMillis] after [sent]. */
     private fun confirm(
-        sent: Instant,
+        sent: ClockReading,
         afterMillis: Long,
         relay: NodeId?,
     ) {
-        val atMillis = sent.millis + afterMillis
+        val atMillis = sent.monotonicMillis + afterMillis
         val gapMillis = atMillis - (confirmation?.atMillis ?: atMillis)
         confirmation = WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
     }
@@ -133,16 +139,6 @@
         }
     }
 
-    /** A moment on both clocks. */
-    private class Instant(clock: Clock) {
-        val millis = clock.monotonicMillis()
-        val wallMillis = clock.wallMillis()
-
-        /** Whether the VM seems to have been suspended between this moment and [later]. */
-        fun suspendedUntil(later: Instant): Boolean =
-            later.wallMillis - wallMillis - (later.millis - millis) > SUSPENSION_MILLIS
-    }
-
     private companion object {
         /** Far more than the clocks drift apart during a poll. */
         private const val SUSPENSION_MILLIS = 200L
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/WatchConfirmation.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/WatchConfirmation.kt
@@ -2,6 +2,8 @@
 
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Clock
+import bergamotwall.runtime.ClockReading
+import bergamotwall.runtime.read
 
 /**
  * The latest proof that a watch knows the current keys: as of [atMillis] on the monotonic clock, [atWallMillis] on the
@@ -17,10 +19,6 @@
     /** The path of the response, for logs. */
     public val path: String get() = relay?.let { "relay ${it.value}" } ?: "direct"
 
-    /**
-     * Time since the proof. The monotonic clock does not count the time for which the VM was suspended, and the wall
-     * clock may be set back, so the longer of the two counts.
-     */
-    public fun ageMillis(clock: Clock): Long =
-        maxOf(clock.monotonicMillis() - atMillis, clock.wallMillis() - atWallMillis)
+    /** Time since the proof. */
+    public fun ageMillis(clock: Clock): Long = ClockReading(atMillis, atWallMillis).millisUntil(clock.read())
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -12,7 +12,6 @@
 import bergamotwall.gateway.forwarding.CallerRequest
 import bergamotwall.gateway.forwarding.ForwardOutcome
 import bergamotwall.gateway.http.ResponsePart
-import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.http.TargetRequest
 import bergamotwall.gateway.http.valueOf
 import bergamotwall.gateway.members.GatewayMember
@@ -40,6 +39,7 @@
 import bergamotwall.model.RequestId
 import bergamotwall.model.RewardCall
 import bergamotwall.model.ServiceName
+import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Journal
@@ -47,8 +47,6 @@
 import bergamotwall.standins.fakes.MemoryPeers
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
-import io.netty.channel.nio.NioEventLoopGroup
-import io.netty.channel.socket.nio.NioSocketChannel
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.StandardTestDispatcher
@@ -66,11 +64,17 @@
     /** Dispatcher that tests and the batch loop run on. */
     val dispatcher: TestDispatcher = StandardTestDispatcher(scheduler)
 
+    /** Time for which the process was paused: both clocks went on, but its timers did not fire. */
+    var pausedMillis = 0L
+
+    /** Time for which the VM was suspended: only the wall clock went on. */
+    var suspendedMillis = 0L
+
     private val clock =
         object : Clock {
-            override fun monotonicMillis(): Long = scheduler.currentTime
+            override fun monotonicMillis(): Long = scheduler.currentTime + pausedMillis
 
-            override fun wallMillis(): Long = scheduler.currentTime
+            override fun wallMillis(): Long = monotonicMillis() + suspendedMillis
         }
 
     /** The key-value service, without the injected failures. */
@@ -79,6 +83,9 @@
     /** Number of listings. */
     var lists = 0
 
+    /** Number of reads of single keys. */
+    var reads = 0
+
     /** Whether listings fail. */
     var listsFail = false
 
@@ -94,6 +101,9 @@
     /** Duration of a write, in milliseconds. */
     var writeMillis = 0L
 
+    /** Duration of a read of a single key, in milliseconds. */
+    var readMillis = 0L
+
     private val store =
         object : KeyValueStore by memoryStore {
             override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
@@ -103,8 +113,11 @@
                 return if (listsFail) unavailable else memoryStore.list(prefix)
             }
 
-            override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
-                if (readsFail) unavailable else memoryStore.get(key)
+            override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> {
+                reads++
+                delay(readMillis)
+                return if (readsFail) unavailable else memoryStore.get(key)
+            }
 
             override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
                 if (writesFail) {
@@ -119,8 +132,8 @@
     /** Peer connections to other processes. */
     val peers = MemoryPeers()
 
-    private val group = NioEventLoopGroup(1)
-    private val client = TargetClient(group, NioSocketChannel::class.java)
+    /** Requests to targets. */
+    val client = ScriptedTargetClient()
 
     /** The process under test. */
     var self = GatewayMember(NodeId("self"), 2, DataCentre("x"), "self:1", "self:2", ready = true)
@@ -172,7 +185,7 @@
                 TargetDependencies(
                     gatewayState = gatewayState,
                     client = client,
-                    protocol = RewardsOnlyProtocol,
+                    protocol = HeaderProtocol,
                     loads = loads,
                     clock = clock,
                     random = Random(1),
@@ -235,20 +248,27 @@
         return BatchRecord(BatchId(id), "h", "/batch/", null, 0, WeightVersion(1), 1, specs)
     }
 
-    override fun close() {
-        client.close()
-        group.shutdownGracefully()
+    /** Registers one engine with [slots] slots. Without it no item can be sent. */
+    suspend fun registerEngine(
+        batches: Batches,
+        slots: Int,
+    ) {
+        val engine = Target(TargetId("engine"), ServiceName("s"), "engine:1", self.dataCentre, slots, draining = false)
+        gatewayState.targets.update { it.next(mapOf(engine.id to engine), clock.monotonicMillis()) }
+        batches.targetsChanged()
     }
 
-    /** Fails if an item is sent: no target is registered. Responses to reward calls are signed in a header. */
-    private object RewardsOnlyProtocol : TargetProtocol {
+    override fun close(): Unit = client.close()
+
+    /** Responses are signed in a header, and generated by the first version of the weights. */
+    private object HeaderProtocol : TargetProtocol {
         override fun request(
             call: TargetCall,
             target: Target,
-        ): TargetRequest = error("nothing is sent")
+        ): TargetRequest = TargetRequest(call.method, call.path, call.headers, call.body)
 
         override fun read(head: ResponsePart.Head): ResponseMetadata =
-            ResponseMetadata(notRun = false, head.headers.valueOf("signature"), load = null, version = null)
+            ResponseMetadata(notRun = false, head.headers.valueOf("signature"), load = null, version = 1)
 
         override fun eventVersion(fields: Map<String, String>): Long? = null
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
@@ -1,7 +1,9 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.decisions.OwnershipPolicy
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.NodeId
+import bergamotwall.runtime.read
 import bergamotwall.standins.fakes.CallFault
 import bergamotwall.standins.fakes.ManualClock
 import bergamotwall.standins.fakes.MemoryKeyValueStore
@@ -30,19 +32,19 @@
         fixture.use {
             runTest {
                 val batch = ownedBatch()
-                val appender = ResultAppender(backgroundScope, BatchStore(store), BatchSettings(), { }, { _, _ -> })
+                val appender = ResultAppender(backgroundScope, BatchStore(store), BatchSettings(), { _, _, _ -> })
                 batch.generated(batch.items.values.first())
                 store.failWrites(CallFault.LOST_RESPONSE)
                 appender.scheduleAppend(batch)
                 advanceTimeBy(GATHER_MILLIS + 1)
                 if (ends) batch.ended = true
                 expectThat(BatchStore(store).results(batch.record.id).get()).isNotNull().hasSize(1)
-                expectThat(batch.page(0, 0, PAGE_CHARS)).isNull()
+                expectThat(batch.page(0, PAGE_CHARS)).isNull()
                 advanceTimeBy(RETRY_MILLIS)
                 if (ends) {
-                    expectThat(batch.page(0, 0, PAGE_CHARS)).isNull()
+                    expectThat(batch.page(0, PAGE_CHARS)).isNull()
                 } else {
-                    expectThat(batch.page(0, 0, PAGE_CHARS)?.results?.size).isEqualTo(1)
+                    expectThat(batch.page(0, PAGE_CHARS)?.results?.size).isEqualTo(1)
                 }
             }
         }
@@ -52,7 +54,10 @@
         val ownership = BatchOwnership(NodeId("self"), 1, "n", 0, 2, 0, fixture.route.name, false)
         val requested = RetrySchedule(ManualClock(), Random(1), Long.MAX_VALUE)
         val created = BatchCreator(store, CHUNK_CHARS).create(record, ownership, requested)
-        return OwnedBatch(record, (created as CreateOutcome.Created).record, fixture.route, 0, emptyList())
+        val clock = ManualClock()
+        val policy = OwnershipPolicy(BatchSettings().endMillis)
+        val known = KnownOwnership((created as CreateOutcome.Created).record, clock, policy, clock.read())
+        return OwnedBatch(record, known, fixture.route, 0, emptyList())
     }
 
     private companion object {
