Never send a request again, or copy a second response, once a stream has begun

Cause: FailoverExchange went on to the next peer after each failure that is marked as not run, whether or not the response had begun; a write that fails late marks its failure so. copyBody passed over the head that followed and copied its body.

Change: after the first head the exchange ends with its failure, which counts as run; a second head breaks the stream off.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ExchangeResponses.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ExchangeResponses.kt
@@ -50,8 +50,8 @@
         when (val part = exchange.next()) {
             is ResponsePart.Body -> if (writer.tryWrite(HttpData.wrap(part.bytes))) awaitConsumed(writer)
             is ResponsePart.Broken -> writer.close(IOException(part.reason))
-            is ResponsePart.End, null -> writer.close()
-            is ResponsePart.Head -> Unit
+            is ResponsePart.End -> writer.close()
+            is ResponsePart.Head, null -> writer.close(IOException("the response did not end"))
         }
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/FailoverExchange.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/FailoverExchange.kt
@@ -5,13 +5,15 @@
 
 /**
  * An exchange that begins [direct], unless that is null, and is relayed if no connection can be established. It goes on
- * to the next peer while the one before is known not to have passed the request on.
+ * to the next peer while the one before is known not to have passed the request on. Once the response has begun, the
+ * request has run, however the exchange ends.
  */
 internal class FailoverExchange(
     direct: TargetExchange?,
     private val relays: RelayedTargetClient.RelayAttempts,
 ) : TargetExchange {
     private var isDirect = direct != null
+    private var begun = false
 
     @Volatile
     private var cancelled = false
@@ -28,6 +30,8 @@
             if (cancelled) current.cancel()
             part = current.next()
         }
+        if (part is ResponsePart.Broken && begun) part = part.copy(mayHaveRun = true, unreachable = false)
+        begun = begun || part is ResponsePart.Head
         return part
     }
 
@@ -37,7 +41,7 @@
     }
 
     private fun mayTryNext(failure: ResponsePart.Broken): Boolean =
-        !cancelled && current !is Unreachable && if (isDirect) failure.unreachable else !failure.mayHaveRun
+        !cancelled && !begun && current !is Unreachable && if (isDirect) failure.unreachable else !failure.mayHaveRun
 
     /** Ends at once, for want of a path. */
     private class Unreachable : TargetExchange {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/relays/RelayedTargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/relays/RelayedTargetClientTest.kt
@@ -60,6 +60,30 @@
         expectThat(network.sent.filter { it != TARGET }).hasSize(tried)
     }
 
+    @ParameterizedTest(name = "target {0}, first peer {1}")
+    @CsvSource(
+        "begins and ends unreachable, ok",
+        "begins and ends closed, ok",
+        "unreachable, begins and ends closed",
+        "unreachable, begins and ends unreachable",
+    )
+    fun `a request whose response has begun is not sent again`(
+        target: String,
+        peer: String,
+    ) = runTest {
+        val client = client()
+        network.answers[TARGET] = "unreachable"
+        val (first) = network.orderOfPeers(client, this)
+        PEERS.forEach { network.answers[it.address] = "ok" }
+        network.answers[TARGET] = target
+        network.answers[first] = peer
+        val exchange = client.send(TARGET, request())
+        expectThat(describe(exchange.next())).isEqualTo("200")
+        network.sent.clear()
+        expectThat(describe(exchange.next())).isEqualTo("may have run")
+        expectThat(network.sent).hasSize(0)
+    }
+
     @Test
     fun `a lost path is not used until a connection is established again`() =
         runTest {
@@ -224,7 +248,9 @@
             sent += address
             requests += request
             val answer = answers[address] ?: "ok"
-            return ScriptedExchange(if (answer == "silent") null else partOf(answer))
+            val begins = answer.startsWith(BEGINS)
+            val parts = if (begins) listOf("ok", answer.removePrefix(BEGINS)) else listOf(answer)
+            return ScriptedExchange(if (answer == "silent") emptyList() else parts.map { partOf(it) })
         }
 
         override suspend fun connect(
@@ -247,14 +273,17 @@
             }
     }
 
-    private class ScriptedExchange(part: ResponsePart?) : TargetExchange {
+    private class ScriptedExchange(parts: List<ResponsePart>) : TargetExchange {
         private val first = CompletableDeferred<ResponsePart?>()
+        private val rest = ArrayDeque(parts.drop(1))
+        private var begun = false
 
         init {
-            part?.let { first.complete(it) }
+            parts.firstOrNull()?.let { first.complete(it) }
         }
 
-        override suspend fun next(): ResponsePart? = first.await()
+        override suspend fun next(): ResponsePart? =
+            if (begun && rest.isNotEmpty()) rest.removeFirst() else first.await().also { begun = true }
 
         override fun cancel() {
             first.complete(ResponsePart.Broken("cancelled", mayHaveRun = true))
@@ -263,6 +292,7 @@
 
     private companion object {
         private const val TARGET = "target:1"
+        private const val BEGINS = "begins and ends "
         private const val PATIENCE_MILLIS = 5_000L
         private val SETTINGS = RelaySettings()
         private val PEERS = (1..3).map { RelayPeer(NodeId("p$it"), "p$it:1") }
