Take a stream that ends inside an event as broken off

Cause: a response without a length ends with its connection, and nothing compared that with the framing of its events.

Change: EventBoundary follows each stream of events.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/EventParser.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/EventParser.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.gateway.http.EventBoundary
 import java.io.ByteArrayOutputStream
 
 /** One event of the stream of a generation. [fields] holds all fields other than id and data, by name. */
@@ -14,6 +15,11 @@
     var bytesWithoutEvent = 0
         private set
 
+    private val boundary = EventBoundary()
+
+    /** Whether the stream has broken off if it ends now. */
+    val insideEvent: Boolean get() = boundary.insideEvent
+
     private val currentLine = ByteArrayOutputStream()
     private val data = ArrayList<String>()
     private val fields = HashMap<String, String>()
@@ -21,6 +27,7 @@
 
     /** Adds the next [bytes] of the body and returns the events that they complete. */
     fun add(bytes: ByteArray): List<StreamEvent> {
+        boundary.add(bytes)
         val events = ArrayList<StreamEvent>()
         var start = 0
         for (index in bytes.indices) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
@@ -24,6 +24,10 @@
                 parser.bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT
             }
 
+    /** The outcome of a run whose response ends now. */
+    fun end(): ItemOutcome =
+        if (parser.insideEvent) ItemOutcome.Broken("the response ended inside an event") else ItemOutcome.Whole
+
     private fun append(event: StreamEvent): ItemOutcome? {
         version = protocol.eventVersion(event.fields)?.let { WeightVersion(it) } ?: version
         return when {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -116,7 +116,7 @@
             outcome =
                 when (val part = next(exchange, remainingMillis)) {
                     is ResponsePart.Body -> collector.add(part.bytes)
-                    is ResponsePart.End -> ItemOutcome.Whole
+                    is ResponsePart.End -> collector.end()
                     is ResponsePart.Broken -> outcomeOf(part)
                     is ResponsePart.Head -> ItemOutcome.Broken("second response head")
                     null -> ItemOutcome.Broken("no event for $idleTimeoutMillis ms")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ExchangeResponses.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ExchangeResponses.kt
@@ -21,8 +21,8 @@
 }
 
 /**
- * Response that passes on [head] and the body that follows on [exchange]. It is reset if the body breaks, or does not
- * end within [timeoutMillis]. If the receiver closes it, the exchange is cancelled.
+ * Response that passes on [head] and the body that follows on [exchange]. It is reset if the body breaks, ends inside
+ * an event, or does not end within [timeoutMillis]. If the receiver closes it, the exchange is cancelled.
  */
 public fun streamedResponse(
     head: ResponsePart.Head,
@@ -34,7 +34,7 @@
     writer.write(responseHeadersOf(head))
     writer.whenComplete().whenComplete { _, _ -> exchange.cancel() }
     scope.launch {
-        if (withTimeoutOrNull(timeoutMillis) { copyBody(exchange, writer) } == null) {
+        if (withTimeoutOrNull(timeoutMillis) { copyBody(head, exchange, writer) } == null) {
             writer.close(IOException("the stream did not end by the deadline"))
         }
     }
@@ -43,19 +43,33 @@
 
 /** Copies the body no faster than it is read, until it ends or the receiver closes the response. */
 private suspend fun copyBody(
+    head: ResponsePart.Head,
     exchange: TargetExchange,
     writer: HttpResponseWriter,
 ) {
+    val type = head.headers.valueOf("content-type").orEmpty()
+    val boundary = EventBoundary().takeIf { type.startsWith(EVENT_STREAM, ignoreCase = true) }
     while (writer.isOpen) {
         when (val part = exchange.next()) {
-            is ResponsePart.Body -> if (writer.tryWrite(HttpData.wrap(part.bytes))) awaitConsumed(writer)
+            is ResponsePart.Body -> {
+                boundary?.add(part.bytes)
+                if (writer.tryWrite(HttpData.wrap(part.bytes))) awaitConsumed(writer)
+            }
             is ResponsePart.Broken -> writer.close(IOException(part.reason))
-            is ResponsePart.End -> writer.close()
+            is ResponsePart.End ->
+                if (boundary?.insideEvent == true) {
+                    // Without a length, the end of a connection counts as the end of the response.
+                    writer.close(IOException("the stream ended inside an event"))
+                } else {
+                    writer.close()
+                }
             is ResponsePart.Head, null -> writer.close(IOException("the response did not end"))
         }
     }
 }
 
+private const val EVENT_STREAM = "text/event-stream"
+
 private suspend fun awaitConsumed(writer: HttpResponseWriter) {
     try {
         writer.whenConsumed().await()
