Refuse requests that could outlast a process that is leaving

Cause: after SIGTERM everything was accepted until connections were closed, although the longest duration of a request, its deadline and the timeout of its route, is known when it comes.

Everything is accepted for the first 40 % of leaveMillis; after that only what ends in any case before connections are closed. Deadlines and long polls end in time for a response; a leaving process relays nothing.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -86,15 +86,15 @@
             RelayFailover(settings.id, { gatewayState.members.read() }, drivers.peers, drivers.clock, random),
         )
 
-    @Volatile
-    private var shuttingDown = false
+    /** The departure of this process. */
+    public val leave: Leave = Leave(drivers.clock, settings, metrics)
 
     /**
      * Whether the process accepts work: routes and targets are known, streams may begin, and it is neither shutting
      * down nor evacuated.
      */
     public val ready: Boolean
-        get() = !shuttingDown && settings.id !in gatewayState.evacuations.read() && gatewayState.routes.read().known &&
+        get() = !leave.begun && settings.id !in gatewayState.evacuations.read() && gatewayState.routes.read().known &&
             watches.targetsLoaded && streamOrigins.loaded
 
     /** The latest proof that the configuration in force is the newest; null before the first one. */
@@ -128,7 +128,7 @@
         )
 
     /** Sends requests to targets for peers that can't reach them. */
-    public val targetRelay: TargetRelay = TargetRelay(targetClient, targetDependencies, scope)
+    public val targetRelay: TargetRelay = TargetRelay(targetClient, targetDependencies, scope) { !leave.begun }
 
     private val crashes: SharedCrashGuard =
         SharedCrashGuard(
@@ -249,7 +249,7 @@
 
     /** Begins the shutdown: accepts no new work and deregisters. Requests in flight continue. */
     public suspend fun shutDown() {
-        shuttingDown = true
+        leave.begin()
         Logger.info("event=leaving id={}", settings.id.value)
         weightRollout.release()
         batches.release()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -40,8 +40,10 @@
      * How long callers may cache resolved addresses; a process that shuts down keeps serving for several times that.
      */
     val addressTtlSeconds: Int = 2,
-    /** Maximum time from SIGTERM to the exit; the platform kills the process after its grace period. */
+    /** Time from SIGTERM until the process stops listening; the platform kills it after its grace period. */
     val leaveMillis: Long = 6_500,
+    /** Time after that for requests in flight. */
+    val finishMillis: Long = 1_000,
     /** Time to live of the registration's lease: how long the loss of a process can go unnoticed. */
     val leaseTtlSeconds: Long = 3,
     val maxBodyBytes: Long = 67_108_864,
@@ -53,6 +55,12 @@
     val relays: RelaySettings = RelaySettings(),
     val weights: WeightSettings = WeightSettings(),
 ) {
+    /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
+    internal val settleMillis: Long get() = leaveMillis * SETTLE_PERCENT / PERCENT
+
+    /** Time from SIGTERM by which every request must have its response. */
+    internal val responsesEndMillis: Long get() = leaveMillis + finishMillis * FINISH_PERCENT / PERCENT
+
     /** [relayAddress], or its default. */
     public val relayAddressOrDefault: String
         get() = relayAddress ?: requireNotNull(NetworkAddress.of(peerAddress).nextPort()) { peerAddress }.toString()
@@ -137,6 +145,7 @@
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return problems
 }
+    check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
 
 private const val MAX_THREADS = 64
 private const val MIN_LEASE_SECONDS = 2L
@@ -147,3 +156,9 @@
 /** The rest of the time in which a change must be applied is left for the margin of a poll. */
 private const val CONFIGURATION_WAIT_PERCENT = 75
 private const val PERCENT = 100
+
+/** Longer than callers keep resolved addresses by default. */
+private const val SETTLE_PERCENT = 40
+
+/** The rest is for responses on their way to the callers. */
+private const val FINISH_PERCENT = 80
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
@@ -24,12 +24,13 @@
 /**
  * Sends requests to targets on behalf of peers that have no path to them. It decides nothing: the peer has chosen the
  * target, and counts the attempt. A request goes to a registered target that is not leaving, over the path of this
- * process, or not at all.
+ * process, or not at all. Nothing is relayed unless [accepts]: other peers outlast what a leaving process may cut off.
  */
 public class TargetRelay internal constructor(
     private val client: RelayedTargetClient,
     private val dependencies: TargetDependencies,
     private val scope: CoroutineScope,
+    private val accepts: () -> Boolean,
 ) : HttpService {
     override fun serve(
         context: ServiceRequestContext,
@@ -43,7 +44,7 @@
     private suspend fun relay(request: AggregatedHttpRequest): HttpResponse {
         val address = request.headers().get(RelayHeaders.TARGET)
         val list = dependencies.gatewayState.targets.read()
-        val target = list.targets.values.firstOrNull { it.address == address && !list.isLeaving(it) }
+        val target = list.targets.values.firstOrNull { accepts() && it.address == address && !list.isLeaving(it) }
         val exchange = target?.let { client.sendDirectly(it.address, requestOf(request)) }
         return if (target == null || exchange == null) {
             outcome(RelayHeaders.NOT_RUN)
