Bound what all responses hold in memory together

Cause: each response was held until it was complete, up to 32 MB in a heap of 96 MB, and each connection read up to 1 MB ahead. Nothing bounded the sum.

Change: SharedBuffer, with the dynamic thresholds of shared-memory switches: a response may hold as much as is free. A larger one is passed on while it arrives, as fast as its caller reads; connections pause. The same limit for service calls of the product's own interface.

Price: a response above 256 KB that breaks off later is not tried at another target.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
@@ -5,22 +5,25 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.future.await
+import kotlinx.coroutines.reactive.asFlow
+import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
-import java.util.concurrent.TimeUnit
+import java.io.ByteArrayOutputStream
+import java.io.IOException
 
-/** Limits a response that is kept in memory as a whole. */
-internal val boundedResponse: RequestOptions = RequestOptions.builder().maxResponseLength(MAX_RESPONSE_BYTES).build()
+/** What all responses that are kept in memory as a whole hold together. */
+private val responses = SharedBuffer()
 
 private const val MAX_RESPONSE_BYTES = 33_554_432L
 private const val OK_STATUS = 200
@@ -35,21 +38,37 @@
     timeoutMillis: Long,
 ): Result<AggregatedHttpResponse, TargetError> =
     catchErrors {
-        val response = awaitResponse(client.execute(request, boundedResponse), timeoutMillis)
+        val response = awaitResponse(client.execute(request), timeoutMillis)
         val error = errorOf(response.status().code())
         if (error == null) Ok(response) else Err(error)
     }
 
-/** Awaits the complete response for up to [timeoutMillis], then closes the exchange. */
+/**
+ * Awaits the complete response for up to [timeoutMillis], then closes the exchange. Fails if the response is larger
+ * than [MAX_RESPONSE_BYTES] or its share of [buffer].
+ */
 internal suspend fun awaitResponse(
     response: HttpResponse,
     timeoutMillis: Long,
+    buffer: SharedBuffer = responses,
 ): AggregatedHttpResponse {
-    val aggregated = response.aggregate().orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+    val share = BufferShare(buffer)
     try {
-        return aggregated.await()
+        return withTimeout(timeoutMillis) {
+            val split = response.split()
+            val headers = split.headers().await()
+            val body = ByteArrayOutputStream()
+            split.body().asFlow().collect { data ->
+                share.add(data.length())
+                val tooLarge = share.heldBytes > MAX_RESPONSE_BYTES || !share.mayGrow
+                if (tooLarge) throw IOException("response of ${share.heldBytes} bytes and more is too large")
+                body.writeBytes(data.array())
+            }
+            AggregatedHttpResponse.of(headers, HttpData.wrap(body.toByteArray()))
+        }
     } finally {
         response.abort()
+        share.release()
     }
 }
 
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -65,8 +65,11 @@
     idleTimeoutMillis: Long = EVENT_IDLE_TIMEOUT_MILLIS,
 ): EngineDriver = HttpEngineDriver(client, idleTimeoutMillis)
 
-/** Service driver over [client]. */
-public fun ServiceDriver(client: WebClient): ServiceDriver = HttpServiceDriver(client)
+/** Service driver over [client]. All responses in progress together hold no more than [buffer] allows. */
+public fun ServiceDriver(
+    client: WebClient,
+    buffer: SharedBuffer = SharedBuffer(),
+): ServiceDriver = HttpServiceDriver(client, buffer)
 
 /** Source of the VM list served at [address], `host:port`. */
 public fun VmListSource(
@@ -147,7 +150,7 @@
     private fun noEvent() = TargetError.Broken("no event for $idleTimeoutMillis ms")
 }
 
-internal class HttpServiceDriver(private val client: WebClient) : ServiceDriver {
+internal class HttpServiceDriver(private val client: WebClient, private val buffer: SharedBuffer) : ServiceDriver {
     override suspend fun call(
         address: String,
         request: ServiceRequest,
@@ -158,7 +161,7 @@
         request.trace?.let { headers.set("traceparent", it) }
         val call = HttpRequest.of(headers.build(), HttpData.ofUtf8(request.body))
         return catchErrors {
-            val response = awaitResponse(client.execute(call, boundedResponse), request.timeoutMillis)
+            val response = awaitResponse(client.execute(call), request.timeoutMillis, buffer)
             val type = response.contentType()?.toString() ?: MediaType.PLAIN_TEXT_UTF_8.toString()
             Ok(ServiceResponse(response.status().code(), type, response.contentUtf8()))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.forwarding
 
+import bergamotwall.drivers.http.SharedBuffer
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetExchange
 import bergamotwall.gateway.routes.Route
@@ -7,13 +8,17 @@
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
 import bergamotwall.gateway.targets.TargetDependencies
-import java.io.ByteArrayOutputStream
 
 /** Sends a request to one target and receives the response. */
 internal class AttemptRunner(
     private val dependencies: TargetDependencies,
     private val limits: ForwardLimits,
 ) {
+    private val buffered = SharedBuffer()
+
+    /** Bytes of responses that are held until they are complete. */
+    val bufferedBytes: Long get() = buffered.heldBytes
+
     /**
      * Sends [request] to [target]. Cancelling the coroutine closes the connection, so that the target drops the
      * request.
@@ -89,21 +94,37 @@
         exchange: TargetExchange,
         head: ResponsePart.Head,
     ): AttemptOutcome {
-        val body = ByteArrayOutputStream()
-        var outcome: AttemptOutcome? = null
-        while (outcome == null) {
-            when (val part = exchange.next()) {
-                is ResponsePart.Body -> body.writeBytes(part.bytes)
-                is ResponsePart.End -> outcome = AttemptOutcome.Complete(head, body.toByteArray())
-                is ResponsePart.Broken -> outcome = AttemptOutcome.Broken(part.reason, part.disconnected)
-                is ResponsePart.Head -> outcome = AttemptOutcome.Broken("second response head")
-                null -> outcome = AttemptOutcome.Broken("response without an end")
+        val body = BufferedBody(buffered)
+        try {
+            var outcome: AttemptOutcome? = null
+            while (outcome == null) {
+                when (val part = exchange.next()) {
+                    is ResponsePart.Body -> body.add(part)
+                    is ResponsePart.End -> outcome = AttemptOutcome.Complete(head, body.toByteArray())
+                    is ResponsePart.Broken -> outcome = AttemptOutcome.Broken(part.reason, part.disconnected)
+                    is ResponsePart.Head -> outcome = AttemptOutcome.Broken("second response head")
+                    null -> outcome = AttemptOutcome.Broken("response without an end")
+                }
+                if (outcome == null && !body.mayGrow(limits.maxAnswerBytes)) outcome = passOn(head, body, exchange)
             }
-            if (body.size() > limits.maxAnswerBytes) outcome = AttemptOutcome.Broken("response too large to buffer")
+            return outcome
+        } finally {
+            body.release()
         }
-        return outcome
     }
 
+    /** The outcome of an attempt whose response is too large to be held until it is complete. */
+    private fun passOn(
+        head: ResponsePart.Head,
+        body: BufferedBody,
+        exchange: TargetExchange,
+    ): AttemptOutcome =
+        if (head.status >= FIRST_SERVER_ERROR) {
+            AttemptOutcome.Broken("response of status ${head.status} too large to buffer")
+        } else {
+            AttemptOutcome.StreamStarted(head, BegunExchange(body.parts, exchange))
+        }
+
     private fun outcomeOf(part: ResponsePart.Broken): AttemptOutcome =
         if (part.mayHaveRun) {
             AttemptOutcome.Broken(part.reason, part.disconnected)
@@ -113,5 +134,6 @@
 
     private companion object {
         private const val OK = 200
+        private const val FIRST_SERVER_ERROR = 500
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
@@ -6,9 +6,10 @@
 @Serializable
 public data class ForwardLimits(
     /**
-     * Larger responses are not buffered and fail. Equals the largest request body that operators allow callers to send.
+     * Larger responses are passed on while they arrive, so that a request is not sent to another target if its response
+     * breaks off after that.
      */
-    val maxAnswerBytes: Int = 33_554_432,
+    val maxAnswerBytes: Int = 262_144,
     /** Hedging delay in percent of the route's target latency; leaves the second target time to respond within it. */
     val hedgePercent: Int = 50,
     /** Backoff per refusal before the next target is tried: one round trip between data centres. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -38,6 +38,12 @@
 ) : RequestForwarder {
     private val runner = AttemptRunner(dependencies, limits)
 
+    init {
+        dependencies.metrics.gauge("buffered_response_bytes", "Bytes of responses held until they are complete.") {
+            runner.bufferedBytes
+        }
+    }
+
     override suspend fun forward(
         request: CallerRequest,
         route: Route,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyExchange.kt
@@ -1,10 +1,11 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.drivers.http.SharedBuffer
 import kotlinx.coroutines.channels.Channel
 import java.util.concurrent.atomic.AtomicReference
 
 /** State of one exchange. The connection is set by [bind] once it is established. */
-internal class NettyExchange(val request: TargetRequest) : TargetExchange {
+internal class NettyExchange(val request: TargetRequest, shared: SharedBuffer) : TargetExchange {
     private val queue = Channel<ResponsePart>(Channel.UNLIMITED)
     private val connection = AtomicReference<TargetConnection?>()
 
@@ -15,7 +16,7 @@
     @Volatile
     private var ended = false
 
-    private val untakenBytes = UntakenBytes(MAX_UNTAKEN_BYTES)
+    private val untakenBytes = UntakenBytes(MAX_UNTAKEN_BYTES, shared)
 
     /** Whether more of the response may be read: at most about [MAX_UNTAKEN_BYTES] of its body wait to be taken. */
     val readable: Boolean get() = untakenBytes.withinLimit
@@ -27,6 +28,7 @@
     }
 
     override fun cancel() {
+        untakenBytes.release()
         if (ended) return
         cancelled = true
         connection.get()?.cancelExchange(this)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.drivers.http.SharedBuffer
 import bergamotwall.model.NetworkAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
@@ -33,6 +34,7 @@
 ) : TargetClient {
     private val pools = ConcurrentHashMap<String, ConnectionPool>()
     private val opened = AtomicLong()
+    private val unread = SharedBuffer()
     private val bootstrap =
         Bootstrap()
             .group(group)
@@ -53,7 +55,7 @@
         address: String,
         request: TargetRequest,
     ): TargetExchange {
-        val exchange = NettyExchange(request)
+        val exchange = NettyExchange(request, unread)
         val pooled = pools[address]?.take()
         if (pooled == null) connect(address, exchange) else pooled.start(exchange)
         return exchange
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseStallsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseStallsTest.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.drivers.http.SharedBuffer
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -11,7 +12,7 @@
 
 /** A paused response whose parts have all been taken is read again. */
 internal class ResponseStallsTest {
-    private val untaken = UntakenBytes(LIMIT_BYTES)
+    private val untaken = UntakenBytes(LIMIT_BYTES, SharedBuffer())
     private val parts = ConcurrentLinkedQueue<Int>()
     private val resumed = Semaphore(0)
 
--- a/standins/src/test/kotlin/bergamotwall/standins/DriverBytesWithoutEndTest.kt
+++ b/standins/src/test/kotlin/bergamotwall/standins/DriverBytesWithoutEndTest.kt
@@ -5,18 +5,25 @@
 import bergamotwall.drivers.TargetError
 import bergamotwall.drivers.http.EngineDriver
 import bergamotwall.drivers.http.ServiceDriver
+import bergamotwall.drivers.http.SharedBuffer
 import bergamotwall.drivers.http.targetClient
 import bergamotwall.standins.fakes.EndlessTarget
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.contains
 import strikt.assertions.isA
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 
@@ -59,6 +66,27 @@
         }
     }
 
+    @Test
+    fun `many service calls without end leave room for others`() {
+        val (head, filler) = BYTES.getValue("chunked body")
+        val buffer = SharedBuffer(BUFFER_BYTES)
+        val driver = ServiceDriver(client, buffer)
+        val request = ServiceRequest("POST", "/x", "text/plain", "x", null, LIMIT_MILLIS)
+        EndlessTarget(head, filler).use { target ->
+            runBlocking {
+                val calls = List(CALLS) { async { driver.call(target.address, request).getError() } }
+                var mostBytes = 0L
+                while (calls.any { it.isActive }) {
+                    mostBytes = maxOf(mostBytes, buffer.heldBytes)
+                    yield()
+                }
+                expectThat(calls.awaitAll()).all { isA<TargetError.Broken>() }
+                expectThat(mostBytes).isLessThan(BUFFER_BYTES + CALLS * READ_BYTES)
+            }
+            expectThat(buffer.heldBytes).isEqualTo(0)
+        }
+    }
+
     private fun errorOf(
         call: String,
         target: EndlessTarget,
@@ -84,6 +112,11 @@
     private companion object {
         private const val LIMIT_MILLIS = 20_000L
         private const val IDLE_MILLIS = 500L
+        private const val CALLS = 24
+        private const val BUFFER_BYTES = 8_388_608L
+
+        /** What a connection may have read before it notices that it must not. */
+        private const val READ_BYTES = 1_048_576L
         private const val PAUSE_MILLIS = 50L
         private const val MAX_BYTES_SENT = 134_217_728L
         private const val HEAD = "HTTP/1.1 200 OK\r\n"
