Release batches that are done once they fill the memory

It kept the bodies and results of all batches, ended ones too; with its heap full, threads ended, and it neither worked nor ended.

Change: RetainedBatches releases the oldest batches to which nothing is added any more while all hold more than a sixth of the heap; readers get them from the key-value service, and a released batch is no orphan.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -37,6 +37,11 @@
      * expects the response within 500 ms.
      */
     val handOverMillis: Long = 250,
+    /**
+     * Size of the batches that the process holds in memory, from which on it releases the oldest ones that are complete
+     * or ended. They are read from the key-value service then.
+     */
+    val retainedChars: Long = Runtime.getRuntime().maxMemory() / RETAINED_HEAP_PARTS,
     /**
      * How long after the end of a batch its items may still reach targets. An owner that was not told of the end learns
      * of it in this time.
@@ -46,3 +51,5 @@
     val peerTimeoutMillis: Long = 700,
     val rewards: RewardSettings = RewardSettings(),
 )
+
+private const val RETAINED_HEAP_PARTS = 6
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -127,6 +127,7 @@
             ownedBatches.find(id) == null &&
             !localSubmissions.isInProgress(id)
     }
+            !(ours && ownedBatches.retained.hasReleased(id)) &&
 
     /**
      * Adopts batch [id] if it is assigned to this process, or overdue, and its owner does not respond. Returns true if
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -67,6 +67,10 @@
     /** When all results are due, on the monotonic clock. */
     val dueAtMillis: Long get() = acceptedAtMillis + (route.batch?.runTargetMillis ?: 0)
 
+    /** Characters of the bodies and results that the batch holds in memory. */
+    var heldChars: Long = record.items.sumOf { it.bodyBase64.length.toLong() } + stored.sumOf { it.text.length }
+        private set
+
     /** Number of items that are not done. */
     val unfinished: Int get() = items.values.count { !it.done }
 
@@ -146,6 +150,7 @@
     /** Marks [append], the first pending results and texts, as stored durably. */
     fun markStored(append: ResultAppend) {
         repeat(append.results.size) { results += pending.removeFirst() }
+        heldChars += append.results.sumOf { it.text.length }
         repeat(append.texts.size) {
             val text = pendingForScoring.removeFirst()
             items.getValue(text.item).phase = ItemPhase.AwaitingScore(text)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -24,10 +24,11 @@
     dispatcherOf: ((OwnedBatch) -> Unit) -> ItemDispatcher,
     rewardDispatcherOf: ((OwnedBatch) -> Unit) -> RewardDispatcher,
 ) {
-    private val batches = HashMap<BatchId, OwnedBatch>()
+    /** The batches that this process holds in memory. */
+    val retained = RetainedBatches(settings.retainedChars)
     private val policy = OwnershipPolicy(settings.endMillis)
     private val checks: OwnershipChecks =
-        OwnershipChecks(scope, store, { batches.values }, ::ownershipRead, onFailed = ::wake)
+        OwnershipChecks(scope, store, retained::all, ::ownershipRead, onFailed = ::wake)
     private val resultAppender: ResultAppender =
         ResultAppender(scope, store, settings, ::ownershipRead, onTextsStored = { rewardDispatcher.wake() })
 
@@ -42,7 +43,7 @@
         private set
 
     /** Returns batch [id] if this process owns it. */
-    fun find(id: BatchId): OwnedBatch? = batches[id]?.takeUnless { it.relinquished }
+    fun find(id: BatchId): OwnedBatch? = retained.find(id)?.takeUnless { it.relinquished }
 
     /** What is known of the ownership of a batch after this process wrote [record] with a call sent at [sentAt]. */
     fun known(
@@ -52,13 +53,13 @@
 
     /** Updates the batches to the current routes. */
     fun routesChanged(table: RouteTable) {
-        batches.values.forEach { batch -> table.find(batch.record.host, batch.record.path)?.let { batch.route = it } }
+        retained.all.forEach { batch -> table.find(batch.record.host, batch.record.path)?.let { batch.route = it } }
         wake()
     }
 
     /** Starts to run [batch], which this process has created or adopted. */
     fun add(batch: OwnedBatch) {
-        batches[batch.record.id] = batch
+        retained.add(batch)
         if (!batch.active) return
         runsAny = true
         checks.wake()
@@ -79,7 +80,7 @@
     }
 
     /** Batches that have neither ended nor been relinquished. */
-    val active: List<OwnedBatch> get() = batches.values.filter { it.active }
+    val active: List<OwnedBatch> get() = retained.all.filter { it.active }
 
     /** Stops running and serving [batch], because another process may own it from now on. */
     fun relinquish(
@@ -88,7 +89,7 @@
     ) {
         batch.relinquished = true
         stopRuns(batch, cause)
-        batches.remove(batch.record.id, batch)
+        retained.remove(batch)
     }
 
     /** Stops the runs of [batch] and stores its end durably. */
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -152,6 +152,9 @@
     /** A batch of one item. */
     val record: BatchRecord get() = record(id.value, 1)
 
+    /** Settings of the process under test. */
+    var settings = BatchSettings()
+
     /** Route of all batches. */
     val route =
         Route(
@@ -196,7 +199,7 @@
                 ),
                 forwarder = { request, route -> forward(request, route) },
             )
-        return Batches(dependencies, BatchSettings(), scope.backgroundScope, dispatcher)
+        return Batches(dependencies, settings, scope.backgroundScope, dispatcher)
     }
 
     /** Sets the members to this process and [others]. */
