Count the sizes of results in encoded bytes

Chunks were limited by characters, the service limits bytes, and its refusal was repeated for ever. A text without end grew in memory.

Change: encodedBytesOf, for chunks and pages; a text that can't be stored is given up, and its item starts over.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchSettings.kt
@@ -3,7 +3,7 @@
 import bergamotwall.gateway.rewards.RewardSettings
 import kotlinx.serialization.Serializable
 
-/** Limits for running batches; times in milliseconds, sizes in characters. */
+/** Limits for running batches; times in milliseconds, sizes in characters of ASCII, each of which takes a byte. */
 @Serializable
 public data class BatchSettings(
     /**
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemCollector.kt
@@ -33,12 +33,22 @@
         return when {
             !batch.allowsVersion(item, version) -> ItemOutcome.Unfit(version)
             !item.append(event, version, target.softwareVersion) -> ItemOutcome.Broken("event ${event.id} out of order")
+            item.textBytes > MAX_TEXT_BYTES -> tooLong()
             else -> null
         }
     }
 
+    /** The text can't be stored, so the item starts over. */
+    private fun tooLong(): ItemOutcome {
+        item.discardText()
+        return ItemOutcome.Broken("more than $MAX_TEXT_BYTES bytes of text")
+    }
+
     private companion object {
         /** The key-value service stores no larger values. */
         private const val MAX_BYTES_WITHOUT_EVENT = 1_048_576
+
+        /** The rest of such a value is for the item's id, versions and score. */
+        private const val MAX_TEXT_BYTES = 1_000_000
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -54,6 +54,10 @@
     var lastFailedTarget: TargetId? = null
     var exchange: TargetExchange? = null
 
+    /** Bytes of the text received, as stored. */
+    var textBytes = 0
+        private set
+
     /** Number of events received. */
     val eventCount: Int get() = eventData.size
 
@@ -79,6 +83,7 @@
         if (follows) {
             if (!hasText) softwareVersion = software
             eventData += event.data
+            textBytes += encodedBytesOf(event.data) + SEPARATOR_BYTES
             versions += version
             lastEventId = id
         }
@@ -89,10 +94,16 @@
     fun discardText() {
         eventData.clear()
         versions.clear()
+        textBytes = 0
         lastEventId = null
         softwareVersion = null
     }
 
     /** The complete text, without a score. */
     fun text(): ItemResult = ItemResult(spec.id, false, eventData.joinToString("\n"), versions.sorted())
+
+    private companion object {
+        /** A line feed in JSON. */
+        private const val SEPARATOR_BYTES = 2
+    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -160,16 +160,16 @@
     }
 
     /**
-     * Returns the results from position [after] on that fit in [maxChars]. Returns null if there is none but the
+     * Returns the results from position [after] on that fit in [maxBytes]. Returns null if there is none but the
      * key-value service may hold some.
      */
     fun page(
         after: Int,
-        maxChars: Int,
+        maxBytes: Int,
     ): BatchPage? {
         val otherMayAppend = !settled && (relinquished || !known.current)
         val mayLackResults = results.size <= after && (appendUnresolved || otherMayAppend)
-        return if (mayLackResults) null else pageOf(record.items.size, results, after, maxChars)
+        return if (mayLackResults) null else pageOf(record.items.size, results, after, maxBytes)
     }
 
     /** Request body of [item] in base64, or null if the batch has no such item. */
@@ -181,22 +181,19 @@
     }
 }
 
-/** Returns the [results] from position [after] on that fit in [maxChars], but at least one if there is any. */
+/** Returns the [results] from position [after] on that fit in [maxBytes], but at least one if there is any. */
 internal fun pageOf(
     total: Int,
     results: List<ItemResult>,
     after: Int,
-    maxChars: Int,
+    maxBytes: Int,
 ): BatchPage {
-    var chars = 0
+    var bytes = 0
     val page =
         results.drop(after).takeWhile { result ->
-            val first = chars == 0
-            chars += result.text.length + RESULT_OVERHEAD_CHARS
-            first || chars <= maxChars
+            val first = bytes == 0
+            bytes += encodedBytesOf(result)
+            first || bytes <= maxBytes
         }
     return BatchPage(total, page)
 }
-
-/** Estimate for the id, versions, score and punctuation of one result. */
-internal const val RESULT_OVERHEAD_CHARS = 200
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -22,7 +22,7 @@
 internal class RemoteBatches(
     private val dependencies: BatchDependencies,
     private val store: BatchStore,
-    private val pageChars: Int,
+    private val pageBytes: Int,
 ) {
     private val owners = ConcurrentHashMap<BatchId, BatchOwnership>()
 
@@ -72,7 +72,7 @@
                     ),
                 )
                 if (results.size <= after) delay(minOf(waitMillis, STORE_POLL_DELAY_MILLIS))
-                ReadOutcome.Page(pageOf(stored.ownership.total, results, after, pageChars))
+                ReadOutcome.Page(pageOf(stored.ownership.total, results, after, pageBytes))
             }
         }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
@@ -76,11 +76,11 @@
 
     /** The first of [pending] that fit in one value of the key-value service, but at least one if there is any. */
     private fun chunkOf(pending: List<ItemResult>): List<ItemResult> {
-        var chars = 0
+        var bytes = 0
         return pending.take(MAX_RESULTS_PER_CHUNK).takeWhile { result ->
-            val first = chars == 0
-            chars += result.text.length + RESULT_OVERHEAD_CHARS
-            first || chars <= settings.partChars
+            val first = bytes == 0
+            bytes += encodedBytesOf(result)
+            first || bytes <= settings.partChars
         }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultPages.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultPages.kt
@@ -4,10 +4,8 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 
-/**
- * Pages of results of owned batches, of at most [pageChars] characters. Confined to the batch loop.
- */
-internal class ResultPages(private val checks: OwnershipChecks, private val pageChars: Int) {
+/** Pages of results of owned batches, of at most [pageBytes] bytes. Confined to the batch loop. */
+internal class ResultPages(private val checks: OwnershipChecks, private val pageBytes: Int) {
     /**
      * Returns the results of [batch] from position [after] on, waiting up to [waitMillis] for the first one. Returns
      * null if there is none but the key-value service may hold some.
@@ -21,6 +19,6 @@
             withTimeoutOrNull(waitMillis) { batch.storedCounts.first { it > after } }
         }
         if (batch.storedResultCount <= after && !batch.settled && !batch.known.current) checks.check(batch)
-        return batch.page(after, pageChars)
+        return batch.page(after, pageBytes)
     }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -7,6 +7,7 @@
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.Write
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.forwarding.CallerRequest
@@ -98,6 +99,9 @@
     /** Whether reads of single keys fail. */
     var readsFail = false
 
+    /** Largest value that writes may have, in bytes. */
+    var maxValueBytes = Int.MAX_VALUE
+
     /** Duration of a write, in milliseconds. */
     var writeMillis = 0L
 
@@ -122,6 +126,8 @@
             override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
                 if (writesFail) {
                     unavailable
+                } else if (isTooLarge(transaction)) {
+                    Err(KeyValueError.Rejected("a value is too large"))
                 } else {
                     val outcome = memoryStore.commit(transaction)
                     delay(writeMillis)
@@ -129,6 +135,9 @@
                 }
         }
 
+    private fun isTooLarge(transaction: Transaction): Boolean =
+        transaction.writes.filterIsInstance<Write.Put>().any { it.value.toByteArray().size > maxValueBytes }
+
     /** Peer connections to other processes. */
     val peers = MemoryPeers()
 
