Begin the grace period for registrations only after an outage

Cause: a watch took each failed poll, and each change of the path of its polls, for an outage of the key-value service, and kept deleted entries for the grace period of 2.2 s after it.

Ruled out by reading: requests held back by the client (the list still had the target); a shorter period (registrations need up to two seconds to return after a real outage).

Change: StoreOutages. There was an outage only if no call of the process was answered on any path for follow.outageMillis; the period begins at its end, once, for all watches.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.RelayFailover
 import bergamotwall.gateway.store.RelayedStore
+import bergamotwall.gateway.store.StoreOutages
 import bergamotwall.gateway.store.StoreRelay
 import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.streams.SharedStreamOrigins
@@ -79,11 +80,13 @@
     private val random = Random(incarnation xor settings.id.value.hashCode().toLong())
     private val loads = TargetLoads()
     private val relay = StoreRelay(drivers.store, drivers.feed)
+    private val outages = StoreOutages(drivers.clock, settings.follow.outageMillis)
     private val store =
         RelayedStore(
             drivers.store,
             drivers.feed,
             RelayFailover(settings.id, { gatewayState.members.read() }, drivers.peers, drivers.clock, random),
+            outages,
         )
 
     /** The departure of this process. */
@@ -172,15 +175,19 @@
         settings,
         drivers.copy(store = store, feed = store),
         targetDependencies,
-        { batches.runsAny || isAssignedOwner(settings.id, gatewayState) },
-        { entries ->
-            crashes.onStoreChanged(entries)
-            limitPublisher.onStoreChanged(entries)
-            val wasReady = ready
-            streamOrigins.onStoreChanged(entries)
-            if (ready != wasReady) registration.changed()
-        },
-    ) { section -> onSectionChanged(section) }
+        outages,
+        StoreWatchHandlers(
+            { batches.runsAny || isAssignedOwner(settings.id, gatewayState) },
+            { entries ->
+                crashes.onStoreChanged(entries)
+                limitPublisher.onStoreChanged(entries)
+                val wasReady = ready
+                streamOrigins.onStoreChanged(entries)
+                if (ready != wasReady) registration.changed()
+            },
+            ::onSectionChanged,
+        ),
+    )
     private val weightRollout =
         WeightRollout(
             WeightRolloutDependencies(settings.id, gatewayState, drivers.orders, drivers.clock, journal, metrics),
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -104,6 +104,11 @@
     val graceMillis: Long = 2_200,
     /** Grace period for gateway processes, which renew their registrations within a second of an outage's end. */
     val memberGraceMillis: Long = 1_000,
+    /**
+     * Shortest time without any response of the key-value service in which registrations may expire: they have a lease
+     * of three seconds, or are written about every second, and lapse after three intervals.
+     */
+    val outageMillis: Long = 2_000,
     /** Pause after a failed call. */
     val retryMillis: Long = 200,
 )
@@ -140,12 +145,12 @@
     check(settings.coreShare > 0 && settings.coreSpeed > 0, "coreShare", "is not positive", "use 1.0 for a core")
     check(settings.leaseTtlSeconds >= MIN_LEASE_SECONDS, "leaseTtlSeconds", "is below 2", "use 2 or more")
     check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
+    check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return problems
 }
-    check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
 
 private const val MAX_THREADS = 64
 private const val MIN_LEASE_SECONDS = 2L
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -7,6 +7,7 @@
 import bergamotwall.gateway.store.DecodedEntries
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.PrefixWatcher
+import bergamotwall.gateway.store.StoreOutages
 import bergamotwall.gateway.store.WatchConfirmation
 import bergamotwall.gateway.store.WatchTiming
 import bergamotwall.gateway.store.decodeDocument
@@ -20,14 +21,23 @@
 /** Parts of the [GatewayState] whose changes are reported. */
 internal enum class WatchedSection { ROUTES, TARGETS, MEMBERS, EVACUATIONS }
 
+/**
+ * What depends on the watches: [runsBatches] tells whether this process runs batches, [onLiveEntries] takes the entries
+ * that processes share, and [onChange] is called after each change of the [GatewayState].
+ */
+internal class StoreWatchHandlers(
+    val runsBatches: () -> Boolean,
+    val onLiveEntries: (Map<String, KeyValueEntry>) -> Unit,
+    val onChange: (WatchedSection) -> Unit,
+)
+
 /** Watches the key-value service and updates the [GatewayState]. Never replaces the configuration by an older one. */
 internal class StoreWatches(
     private val settings: GatewaySettings,
     private val drivers: GatewayDrivers,
     private val targets: TargetDependencies,
-    private val runsBatches: () -> Boolean,
-    private val onLiveEntries: (Map<String, KeyValueEntry>) -> Unit,
-    private val onChange: (WatchedSection) -> Unit,
+    private val outages: StoreOutages,
+    private val handlers: StoreWatchHandlers,
 ) {
     private val watchSettings = settings.follow
     private val gatewayState = targets.gatewayState
@@ -100,7 +110,8 @@
         waitMillis: Long = watchSettings.waitMillis,
         onChange: (Map<String, KeyValueEntry>) -> Unit,
     ): PrefixWatcher {
-        val timing = WatchTiming(waitMillis, pauseMillis, graceMillis, watchSettings.retryMillis)
+        val retryMillis = watchSettings.retryMillis
+        val timing = WatchTiming(waitMillis, pauseMillis, graceMillis, { outages.endedAtMillis }, retryMillis)
         return PrefixWatcher(prefix, drivers.store, drivers.feed, drivers.clock, timing, onChange)
     }
 
@@ -114,7 +125,7 @@
 
     /** Processes that place items or order weights need to know at once which engines hold which version. */
     private fun targetPauseMillis(): Long =
-        if (leading || runsBatches()) {
+        if (leading || handlers.runsBatches()) {
             watchSettings.targetPauseMillis
         } else {
             newsPauseMillis(
@@ -136,13 +147,13 @@
                 configurationConfirmation?.path,
                 configurationConfirmation?.gapMillis,
             )
-            onChange(WatchedSection.ROUTES)
+            handlers.onChange(WatchedSection.ROUTES)
         }
         val evacuations = drivers.documents.evacuations(entries)
         if (evacuations != gatewayState.evacuations.read()) {
             gatewayState.evacuations.update { evacuations }
             Logger.info("event=evacuations_changed vms={}", evacuations.joinToString(",") { it.value })
-            onChange(WatchedSection.EVACUATIONS)
+            handlers.onChange(WatchedSection.EVACUATIONS)
         }
         val named = drivers.documents.namedVersions(entries)
         gatewayState.namedVersions.update { old ->
@@ -165,14 +176,14 @@
         targets.departures.registered(list, drivers.clock.monotonicMillis())
         targets.loads.retain(list.keys)
         targetsLoaded = true
-        onChange(WatchedSection.TARGETS)
+        handlers.onChange(WatchedSection.TARGETS)
     }
 
     private fun onMembersChanged(entries: Map<String, KeyValueEntry>) {
         val list = members.of(entries.filterKeys { it.startsWith(GatewayKeys.MEMBERS) }).values
         val previous = gatewayState.members.read().members
         gatewayState.members.update { MemberList(list.associateBy { it.id }) }
-        onLiveEntries(entries)
+        handlers.onLiveEntries(entries)
         lastLeader = entries[GatewayKeys.LAST_WEIGHT_LEADER]?.value
         leading = entries[GatewayKeys.WEIGHT_LEADER]?.value == settings.id.value
         if (GatewayKeys.WEIGHT_LEADER in entries) {
@@ -184,7 +195,7 @@
             previous.values.filter { old -> list.none { it.id == old.id && it.incarnation == old.incarnation } }
         removed.forEach { Logger.info("event=member_gone id={} incarnation={}", it.id.value, it.incarnation) }
         // Any change counts: a process may have started and stopped unnoticed while the service was unavailable.
-        if (list.toSet() != previous.values.toSet()) onChange(WatchedSection.MEMBERS)
+        if (list.toSet() != previous.values.toSet()) handlers.onChange(WatchedSection.MEMBERS)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -120,7 +120,8 @@
     private fun onSuccess() {
         if (failing) {
             failing = false
-            keys.recovered(clock.monotonicMillis())
+            // A watch may be cut while the service runs: what is deleted then is gone.
+            timing.outageEndMillis()?.let { keys.recovered(it) }
             Logger.info("event=store_regained prefix={}", prefix)
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/RelayedStore.kt
@@ -38,6 +38,7 @@
     private val store: KeyValueStore,
     private val feed: ChangeFeed,
     private val failover: RelayFailover,
+    private val outages: StoreOutages,
 ) : KeyValueStore,
     ChangeFeed {
     override suspend fun get(key: String): Result<KeyValueEntry?, KeyValueError> =
@@ -99,7 +100,7 @@
             } ?: Err(abandoned)
         val unavailable = response.fold({ false }, { it is KeyValueError.Unavailable && it !== abandoned })
         if (direct && unavailable) failover.directFailed()
-        return response
+        return response.observedBy(outages)
     }
 
     private suspend fun <T> call(
@@ -114,9 +115,9 @@
                 if (probe) withTimeoutOrNull(PROBE_MILLIS) { direct() } ?: Err(probeTimeout) else direct()
             val error = directResult.fold({ null }, { it as? KeyValueError.Unavailable })
             if (error == null) failover.directSucceeded() else failover.directFailed()
-            if (error == null || error.mayHaveApplied && !retryable) return directResult
+            if (error == null || error.mayHaveApplied && !retryable) return directResult.observedBy(outages)
         }
-        return callRelay(message, 0, retryable, decode)
+        return callRelay(message, 0, retryable, decode).observedBy(outages)
     }
 
     private suspend fun <T> callRelay(
@@ -138,6 +139,11 @@
         )
 }
 
+private fun <T> Result<T, KeyValueError>.observedBy(outages: StoreOutages): Result<T, KeyValueError> {
+    if (fold({ true }, { it !is KeyValueError.Unavailable })) outages.responded()
+    return this
+}
+
 private class Decoded<T>(val value: T)
 
 private fun changesOf(response: RelayedResponse): Decoded<KeyValueChanges>? =
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/ConfigurationNotInForceInTimeTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/ConfigurationNotInForceInTimeTest.kt
@@ -84,12 +84,14 @@
         val peers = network.Peers(settings.marginMillis)
         val failover = RelayFailover(NodeId("self"), { MemberList(members) }, peers, clock, Random(SEED))
         val direct = network.Driver(UnreliableNetwork.DIRECT, settings.marginMillis)
-        val store = RelayedStore(direct, direct, failover)
+        val outages = StoreOutages(clock, settings.outageMillis)
+        val store = RelayedStore(direct, direct, failover, outages)
         val timing =
             WatchTiming(
                 settings.configurationWaitMillis,
                 { settings.configurationPauseMillis },
                 0,
+                { outages.endedAtMillis },
                 settings.retryMillis,
             )
         PrefixWatcher("op/", store, store, clock, timing) { entries ->
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/PrefixWatcherTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/PrefixWatcherTest.kt
@@ -18,6 +18,8 @@
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
@@ -45,8 +47,32 @@
     fun `lists the prefix again if the history has been dropped`() =
         watch(listOf(Err(KeyValueError.HistoryCompacted("dropped")))) { expectThat(snapshots.size).isEqualTo(2) }
 
+    @ParameterizedTest(name = "the last response came {0} ms before: kept {1}")
+    @CsvSource("300, false", "1900, false", "2000, true", "9000, true")
+    fun `a target that leaves after its watch was cut is kept only if there was an outage`(
+        silentMillis: Long,
+        kept: Boolean,
+    ) {
+        val clock = ManualClock()
+        val outages = StoreOutages(clock, 2_000)
+        outages.responded()
+        clock.advance(silentMillis)
+        outages.responded()
+        val responses =
+            listOf(
+                Err(KeyValueError.Unavailable("the connection was closed", mayHaveApplied = false)),
+                Ok(KeyValueChanges(listOf(KeyValueChange.Put(KeyValueEntry("p/target", "v", 5, 5))), 9)),
+                Ok(KeyValueChanges(listOf(KeyValueChange.Deleted("p/target")), 10)),
+            )
+        watch(responses, clock, outages) {
+            expectThat("p/target" in snapshots.last()).isEqualTo(kept)
+        }
+    }
+
     private fun watch(
         responses: List<Result<KeyValueChanges, KeyValueError>>,
+        clock: ManualClock = ManualClock(),
+        outages: StoreOutages = StoreOutages(clock, 2_000),
         check: TestScope.() -> Unit,
     ) = runTest {
         store.commit(Transaction(emptyList(), listOf(Write.Put("other", "v"))))
@@ -56,8 +82,8 @@
                 polledRevisions += after
                 script.removeFirstOrNull() ?: awaitCancellation()
             }
-        val timing = WatchTiming(waitMillis = 1_000, pauseMillis = { 10 }, graceMillis = 100, retryMillis = 50)
-        val watcher = PrefixWatcher("p/", store, feed, ManualClock(), timing) { snapshots += it.keys }
+        val timing = WatchTiming(1_000, { 10 }, graceMillis = 100, { outages.endedAtMillis }, retryMillis = 50)
+        val watcher = PrefixWatcher("p/", store, feed, clock, timing) { snapshots += it.keys }
         val job = watcher.start(this)
         advanceTimeBy(5_000)
         check()
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/RelayedStoreTest.kt
@@ -49,7 +49,8 @@
     private val members =
         listOf("self", "other").map { GatewayMember(NodeId(it), 1, DataCentre("x"), "$it:1") }.associateBy { it.id }
     private val failover = RelayFailover(NodeId("self"), { MemberList(members) }, peers, clock, Random(1))
-    private val store = RelayedStore(directStore, feed, failover)
+    private val outages = StoreOutages(clock, 2_000)
+    private val store = RelayedStore(directStore, feed, failover, outages)
 
     init {
         val relay = StoreRelay(relayStore, feed)
@@ -104,7 +105,7 @@
     fun `a watch on a dead connection is cancelled once another call fails`() =
         runTest {
             val deadFeed = ChangeFeed { _, _, _ -> awaitCancellation() }
-            val watching = RelayedStore(directStore, deadFeed, failover)
+            val watching = RelayedStore(directStore, deadFeed, failover, outages)
             val changes = async { watching.changes("p", 7, 4_000) }
             runCurrent()
             directStore.down = true
@@ -119,7 +120,7 @@
             val unresponsiveMembers = unresponsive(4)
             val failing = ChangeFeed { _, _, _ -> Err(KeyValueError.Unavailable("down", mayHaveApplied = false)) }
             val failover = RelayFailover(NodeId("self"), { MemberList(unresponsiveMembers) }, peers, clock, Random(1))
-            expectThat(RelayedStore(directStore, failing, failover).changes("p", 7, 2_500).isErr).isTrue()
+            expectThat(RelayedStore(directStore, failing, failover, outages).changes("p", 7, 2_500).isErr).isTrue()
             expectThat(testScheduler.currentTime).isLessThanOrEqualTo(3_500)
         }
 
@@ -132,15 +133,15 @@
                     override suspend fun keepAlive(lease: LeaseId): Result<Unit, KeyValueError> =
                         Err(KeyValueError.Unavailable("no response", mayHaveApplied = true))
                 }
-            expectThat(RelayedStore(losesResponses, feed, failover).keepAlive(lease).isOk).isTrue()
+            expectThat(RelayedStore(losesResponses, feed, failover, outages).keepAlive(lease).isOk).isTrue()
         }
 
     @Test
     fun `calls find a relay that reaches the service among many processes that are cut off`() =
         runTest {
             val allMembers = MemberList(members + unresponsive(8))
-            val isolated =
-                RelayedStore(directStore, feed, RelayFailover(NodeId("self"), { allMembers }, peers, clock, Random(5)))
+            val otherFailover = RelayFailover(NodeId("self"), { allMembers }, peers, clock, Random(5))
+            val isolated = RelayedStore(directStore, feed, otherFailover, outages)
             directStore.down = true
             val lease = relayStore.grantLease(2).get()!!
             var renewed = 0
