Refuse a message that this build does not know, and keep its connection

Found by reading, for upgrades: a frame whose body can't be decoded ended the connection, and with it the requests of others in flight on it, so a new message of one build would have been an error for the other.

Change: the head of the frame is decoded on its own; a request is answered with a refusal, a response counts as one. Bytes that are no frame close the connection as before.

--- a/peers/src/main/kotlin/bergamotwall/peers/Envelope.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/Envelope.kt
@@ -12,3 +12,10 @@
     @SerialName("t") val trace: String? = null,
     @SerialName("b") val body: PeerMessage,
 )
+
+/** An [Envelope] without its body, which another build may have written in a form that this one does not know. */
+@Serializable
+internal data class EnvelopeHead(
+    @SerialName("i") val id: Long,
+    @SerialName("a") val isResponse: Boolean,
+)
--- a/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/KtorPeerClient.kt
@@ -158,7 +158,7 @@
     private suspend fun read() {
         val channel = socket.openReadChannel()
         while (true) {
-            val envelope = decodeFrame(channel.readFrame())
+            val envelope = decodeFrame(channel.readFrame()).envelope
             framesRead++
             inFlight[envelope.id]?.complete(envelope.body)
         }
--- a/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
+++ b/peers/src/main/kotlin/bergamotwall/peers/PeerServer.kt
@@ -103,11 +103,13 @@
             val writer = launch { for (frame in outgoing) write(output, frame) }
             try {
                 while (true) {
-                    val envelope = decodeFrame(input.readFrame())
+                    val frame = decodeFrame(input.readFrame())
+                    val envelope = frame.envelope
                     inFlightLimit.acquire()
                     launch {
                         try {
-                            val response = handler.handle(envelope.body, envelope.trace)
+                            val body = envelope.body
+                            val response = if (frame.understood) handler.handle(body, envelope.trace) else body
                             outgoing.send(encodeFrame(Envelope(envelope.id, true, null, response)))
                         } finally {
                             inFlightLimit.release()
