Leave alone what another build has stored, and keep its fields

Found by reading, for upgrades: a chunk of items or results that can't be decoded threw in the search for orphans, which began anew and found it again, so no orphan was adopted; before that, the batch was claimed. A record that was rewritten lost the fields that this build does not know.

Change: decoding is an outcome; a batch is read before it is claimed, and one that can't be read is left out. Added fields are written back.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
@@ -20,7 +20,15 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapResult
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import org.tinylog.Logger
 
 /**
  * Reads and updates batches in the key-value service. A batch consists of item chunks, result chunks, chunks of texts
@@ -47,15 +55,19 @@
             records
         }
 
-    /** Replaces the ownership record of [batch] by [next] if it still has [revision]. */
+    /**
+     * Replaces the ownership of [batch] in [stored] by [next] if the record is unchanged. Fields of the record that
+     * another build has added stay as they are.
+     */
     suspend fun replace(
         batch: BatchId,
-        revision: Long,
+        stored: OwnershipRecord,
         next: BatchOwnership,
     ): Result<TransactionOutcome, KeyValueError> {
         val key = GatewayKeys.batch(batch)
-        val put = Write.Put(key, Jsons.wire.encodeToString(BatchOwnership.serializer(), next))
-        return store.commit(Transaction(listOf(Condition.Unchanged(key, revision)), listOf(put)))
+        val known = Jsons.wire.encodeToJsonElement(BatchOwnership.serializer(), next).jsonObject
+        val put = Write.Put(key, JsonObject(stored.addedFields + known).toString())
+        return store.commit(Transaction(listOf(Condition.Unchanged(key, stored.revision)), listOf(put)))
     }
 
     /** Appends the chunks of [append] in one call if the ownership record still has [revision]. */
@@ -96,9 +108,9 @@
         batch: BatchId,
         ownership: BatchOwnership,
     ): Result<BatchRecord, KeyValueError> =
-        store.list(GatewayKeys.items(batch, ownership.nonce)).map { listing ->
+        store.list(GatewayKeys.items(batch, ownership.nonce)).andThen { listing ->
             val text = listing.entries.sortedBy { it.key }.take(ownership.parts).joinToString("") { it.value }
-            Jsons.wire.decodeFromString(BatchRecord.serializer(), text)
+            decode(BatchRecord.serializer(), text, "the items of ${batch.value}")
         }
 
     /** Reads the results of [batch] in the order of their positions. */
@@ -108,8 +120,11 @@
     suspend fun texts(batch: BatchId): Result<List<ItemResult>, KeyValueError> = chunks(GatewayKeys.texts(batch))
 
     private suspend fun chunks(prefix: String): Result<List<ItemResult>, KeyValueError> =
-        store.list(prefix).map { listing ->
-            listing.entries.sortedBy { it.key }.flatMap { Jsons.wire.decodeFromString(CHUNK_SERIALIZER, it.value) }
+        store.list(prefix).andThen { listing ->
+            listing.entries
+                .sortedBy { it.key }
+                .mapResult { decode(CHUNK_SERIALIZER, it.value, it.key) }
+                .map { it.flatten() }
         }
 
     /**
@@ -127,8 +142,15 @@
     }
 }
 
-/** The stored [ownership] of a batch and the [revision] of its last write. */
-internal data class OwnershipRecord(val ownership: BatchOwnership, val revision: Long)
+/**
+ * The stored [ownership] of a batch and the [revision] of its last write. [addedFields] are those that this build does
+ * not know.
+ */
+internal data class OwnershipRecord(
+    val ownership: BatchOwnership,
+    val revision: Long,
+    val addedFields: Map<String, JsonElement> = emptyMap(),
+)
 
 /** Outcome of appending results. */
 internal enum class AppendOutcome {
@@ -147,6 +169,25 @@
 
 /** The ownership record in [entry], or null if it can't be read. */
 internal fun ownershipRecordOf(entry: KeyValueEntry): OwnershipRecord? =
-    decodeDocument(BatchOwnership.serializer(), entry)?.let { OwnershipRecord(it, entry.modRevision) }
+    decodeDocument(BatchOwnership.serializer(), entry)?.let { ownership ->
+        val fields = Jsons.wire.parseToJsonElement(entry.value).jsonObject
+        val known = BatchOwnership.serializer().descriptor.elementNames.toSet()
+        OwnershipRecord(ownership, entry.modRevision, fields - known)
+    }
 
 private fun unreadable(key: String) = KeyValueError.Rejected("$key can't be read")
+
+/** Decodes [text], the content of [source], which another build of the program may have written. */
+private fun <T> decode(
+    deserializer: DeserializationStrategy<T>,
+    text: String,
+    source: String,
+): Result<T, KeyValueError> =
+    try {
+        Ok(Jsons.wire.decodeFromString(deserializer, text))
+    } catch (e: SerializationException) {
+        Logger.warn("event=record_unreadable source=\"{}\" cause=\"{}\"", source, e.message?.take(MAX_LOGGED_CHARS))
+        Err(unreadable(source))
+    }
+
+private const val MAX_LOGGED_CHARS = 200
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -1,6 +1,5 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.assignedOwnerOf
 import bergamotwall.model.Alive
@@ -8,9 +7,7 @@
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.CheckAlive
 import bergamotwall.model.NodeId
-import bergamotwall.runtime.Decision
 import bergamotwall.runtime.launchSupervised
-import bergamotwall.runtime.read
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.CoroutineScope
@@ -34,6 +31,7 @@
     private val ownedBatches: OwnedBatches,
     private val localSubmissions: LocalSubmissions,
 ) {
+    private val adoption = BatchAdoption(dependencies, store, ownedBatches)
     private val searchRequests = Channel<Unit>(Channel.CONFLATED)
     private val lastKnownAddresses = HashMap<NodeId, String>()
     private val suspectedSinceMillis = HashMap<BatchId, Long>()
@@ -47,6 +45,9 @@
      */
     private val unroutable = HashSet<BatchId>()
 
+    /** Batches that another build has written in a form that this one can't read. */
+    private val unreadable = HashSet<BatchId>()
+
     init {
         scope.launchSupervised("orphans") {
             while (true) {
@@ -102,7 +103,8 @@
             }
 
     private suspend fun adoptFrom(records: Map<BatchId, OwnershipRecord>): Boolean {
-        val suspects = records.filter { (id, record) -> id !in unroutable && isSuspect(id, record.ownership) }
+        val excluded = unroutable + unreadable
+        val suspects = records.filter { (id, record) -> id !in excluded && isSuspect(id, record.ownership) }
         val nowMillis = dependencies.shared.clock.monotonicMillis()
         suspectedSinceMillis.keys.retainAll(suspects.keys)
         suspects.keys.forEach { suspectedSinceMillis.putIfAbsent(it, nowMillis) }
@@ -125,9 +127,9 @@
         return !ownership.ended &&
             (ours || !registered) &&
             ownedBatches.find(id) == null &&
+            !(ours && ownedBatches.retained.hasReleased(id)) &&
             !localSubmissions.isInProgress(id)
     }
-            !(ours && ownedBatches.retained.hasReleased(id)) &&
 
     /**
      * Adopts batch [id] if it is assigned to this process, or overdue, and its owner does not respond. Returns true if
@@ -142,7 +144,7 @@
         val adoptable =
             overdue ||
                 assignedOwnerOf(dependencies.shared.gatewayState, stored.ownership.route)?.id == dependencies.self().id
-        return adoptable && !ownerResponds(stored.ownership) && claim(id, stored)
+        return adoptable && !ownerResponds(stored.ownership) && adopt(id, stored)
     }
 
     /**
@@ -156,48 +158,14 @@
         return response == Alive(ownership.incarnation)
     }
 
-    private suspend fun claim(
-        id: BatchId,
-        stored: OwnershipRecord,
-    ): Boolean {
-        val self = dependencies.self()
-        val claimed = stored.ownership.copy(owner = self.id, incarnation = self.incarnation)
-        val sentAt = dependencies.shared.clock.read()
-        val outcome = store.replace(id, stored.revision, claimed).get()
-        return outcome is TransactionOutcome.Committed &&
-            loadAndRun(id, stored, ownedBatches.known(OwnershipRecord(claimed, outcome.revision), sentAt))
-    }
-
-    /**
-     * A batch that cannot be read now is retried by the next search, which finds it owned by this process but not run.
-     */
-    private suspend fun loadAndRun(
+    private suspend fun adopt(
         id: BatchId,
         stored: OwnershipRecord,
-        claimed: KnownOwnership,
     ): Boolean {
-        val record = store.items(id, claimed.record.ownership).get()
-        val results = store.results(id).get()
-        val texts = if (record?.items.orEmpty().any { it.reward != null }) store.texts(id).get() else emptyList()
-        val route = record?.let { dependencies.shared.gatewayState.routes.read().find(it.host, it.path) }
-        if (record != null && route == null) {
-            Logger.warn("event=batch_without_route batch={} path={}", id.value, record.path)
-            unroutable += id
-        }
-        val storedItems = if (results == null || texts == null) null else results to texts
-        if (record == null || route == null || storedItems == null) return false
-        val nowMillis = dependencies.shared.clock.monotonicMillis()
-        ownedBatches.add(OwnedBatch(record, claimed, route, nowMillis, storedItems.first, storedItems.second))
-        dependencies.shared.journal.record(
-            Decision(
-                "batch/${id.value}",
-                "adopted",
-                "its owner is not registered and does not respond",
-                "owner ${stored.ownership.owner.value}",
-                "results stored: ${storedItems.first.size} of ${record.items.size}, texts: ${storedItems.second.size}",
-            ),
-        )
-        return true
+        val outcome = adoption.adopt(id, stored)
+        if (outcome == AdoptionOutcome.UNROUTABLE) unroutable += id
+        if (outcome == AdoptionOutcome.UNREADABLE) unreadable += id
+        return outcome == AdoptionOutcome.ADOPTED
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -105,10 +105,12 @@
         while (retries.awaitNext()) {
             if (batch.known.record.ownership.ended) return EndOutcome.Ended
             val ended = batch.known.record.ownership.copy(ended = true)
-            val outcome = store.replace(batch.record.id, batch.known.record.revision, ended)
+            val outcome = store.replace(batch.record.id, batch.known.record, ended)
             outcome.fold(
                 success = {
-                    if (it is TransactionOutcome.Committed) batch.known.record = OwnershipRecord(ended, it.revision)
+                    if (it is TransactionOutcome.Committed) {
+                        batch.known.record = batch.known.record.copy(ownership = ended, revision = it.revision)
+                    }
                 },
                 failure = { },
             )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -107,7 +107,7 @@
                 when {
                     stored == null -> outcome = EndOutcome.Absent
                     stored.ownership.ended -> outcome = EndOutcome.Ended
-                    else -> store.replace(batch, stored.revision, stored.ownership.copy(ended = true))
+                    else -> store.replace(batch, stored, stored.ownership.copy(ended = true))
                 }
             }
         }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -152,6 +152,9 @@
     /** Answers reward calls. */
     var forward: suspend (CallerRequest, Route) -> ForwardOutcome = { _, _ -> error("no reward call is expected") }
 
+    /** Settings of the process under test. */
+    var settings = BatchSettings()
+
     /** Decisions of the process under test. */
     val journal = Journal(NodeId("self"), clock)
 
@@ -161,9 +164,6 @@
     /** A batch of one item. */
     val record: BatchRecord get() = record(id.value, 1)
 
-    /** Settings of the process under test. */
-    var settings = BatchSettings()
-
     /** Route of all batches. */
     val route =
         Route(
@@ -235,14 +235,16 @@
             .first { ownerOf(route.name, listOf(self.id, it)) == it }
             .let { GatewayMember(it, 1, DataCentre("x"), "${it.value}:1", "${it.value}:2", ready = true) }
 
-    /** Stores [record] as owned by [owner] in [incarnation]. */
+    /** Stores a batch [id] of one item as owned by [owner] in [incarnation]. */
     suspend fun storeBatch(
         owner: String,
         incarnation: Long,
         ended: Boolean = false,
+        id: String = this.id.value,
     ) {
         val ownership = BatchOwnership(NodeId(owner), incarnation, "n", 0, 1, 0, route.name, ended)
-        BatchCreator(memoryStore, 1_000).create(record, ownership, RetrySchedule(clock, Random(1), Long.MAX_VALUE))
+        val retries = RetrySchedule(clock, Random(1), Long.MAX_VALUE)
+        BatchCreator(memoryStore, 1_000).create(record(id, 1), ownership, retries)
     }
 
     /** Whether the items of batches have reward calls. */
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
@@ -91,7 +91,7 @@
         runTest {
             val old = created()
             batches.append(id, old.revision, append(0, "i1"))
-            batches.replace(id, old.revision, old.ownership.copy(owner = NodeId("other")))
+            batches.replace(id, old, old.ownership.copy(owner = NodeId("other")))
             expectThat(batches.append(id, old.revision, append(1, "i2"))).isEqualTo(AppendOutcome.FENCED)
             expectThat(batches.results(id).get().orEmpty().map { it.item.value }).containsExactly("i1")
         }
@@ -108,8 +108,8 @@
     fun `of two processes that replace the same ownership record one succeeds`() =
         runTest {
             val owned = created()
-            val first = batches.replace(id, owned.revision, owned.ownership.copy(owner = NodeId("x"))).get()
-            batches.replace(id, owned.revision, owned.ownership.copy(owner = NodeId("y")))
+            val first = batches.replace(id, owned, owned.ownership.copy(owner = NodeId("x"))).get()
+            batches.replace(id, owned, owned.ownership.copy(owner = NodeId("y")))
             expectThat(first).isA<bergamotwall.drivers.TransactionOutcome.Committed>()
             expectThat(batches.ownership(id).get()?.ownership?.owner).isEqualTo(NodeId("x"))
         }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/FormerOwnerTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/FormerOwnerTest.kt
@@ -156,7 +156,7 @@
         val store = BatchStore(fixture.memoryStore)
         val before = checkNotNull(store.ownership(fixture.id).get())
         val owner = if (adopts) NodeId("other") else before.ownership.owner
-        store.replace(fixture.id, before.revision, before.ownership.copy(owner = owner, ended = ends))
+        store.replace(fixture.id, before, before.ownership.copy(owner = owner, ended = ends))
         return checkNotNull(store.ownership(fixture.id).get())
     }
 
