End a service call whose response is too large without waiting for its abort

Now the call ends with the first of the two, the complete response or the notice that it is too large, and closes the exchange then. The limit of 32 MB for one response is the client's again.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
@@ -17,12 +18,17 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import java.io.IOException
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
+/** Limits a response that is kept in memory as a whole. */
+internal val boundedResponse: RequestOptions = RequestOptions.builder().maxResponseLength(MAX_RESPONSE_BYTES).build()
+
+private const val MAX_RESPONSE_BYTES = 33_554_432L
+
 /** What all responses that are kept in memory as a whole hold together. */
 private val responses = SharedBuffer()
 
-private const val MAX_RESPONSE_BYTES = 33_554_432L
 private const val OK_STATUS = 200
 private const val TOO_MANY_REQUESTS = 429
 private const val SERVICE_UNAVAILABLE = 503
@@ -35,14 +41,14 @@
     timeoutMillis: Long,
 ): Result<AggregatedHttpResponse, TargetError> =
     catchErrors {
-        val response = awaitResponse(client.execute(request), timeoutMillis)
+        val response = awaitResponse(client.execute(request, boundedResponse), timeoutMillis)
         val error = errorOf(response.status().code())
         if (error == null) Ok(response) else Err(error)
     }
 
 /**
  * Awaits the complete response for up to [timeoutMillis], then closes the exchange. Fails if the response is larger
- * than [MAX_RESPONSE_BYTES] or its share of [buffer].
+ * than its share of [buffer].
  */
 internal suspend fun awaitResponse(
     response: HttpResponse,
@@ -50,17 +56,17 @@
     buffer: SharedBuffer = responses,
 ): AggregatedHttpResponse {
     val share = BufferShare(buffer)
+    val tooLarge = CompletableFuture<AggregatedHttpResponse>()
     val counted =
         response.peekData { data ->
             share.add(data.length())
-            val tooLarge = share.heldBytes > MAX_RESPONSE_BYTES || !share.mayGrow
-            if (tooLarge) response.abort(IOException("response of ${share.heldBytes} bytes and more is too large"))
+            if (!share.mayGrow) tooLarge.completeExceptionally(IOException("all responses together are too large"))
         }
     val aggregated = counted.aggregate().orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
     try {
-        return aggregated.await()
+        return CompletableFuture.anyOf(aggregated, tooLarge).await() as AggregatedHttpResponse
     } finally {
-        counted.abort()
+        response.abort()
         share.release()
     }
 }
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -161,7 +161,7 @@
         request.trace?.let { headers.set("traceparent", it) }
         val call = HttpRequest.of(headers.build(), HttpData.ofUtf8(request.body))
         return catchErrors {
-            val response = awaitResponse(client.execute(call), request.timeoutMillis, buffer)
+            val response = awaitResponse(client.execute(call, boundedResponse), request.timeoutMillis, buffer)
             val type = response.contentType()?.toString() ?: MediaType.PLAIN_TEXT_UTF_8.toString()
             Ok(ServiceResponse(response.status().code(), type, response.contentUtf8()))
         }
