--- a/decisions/src/main/kotlin/bergamotwall/decisions/LeaveAdmission.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/LeaveAdmission.kt
@@ -3,7 +3,7 @@
 /**
  * Decides which requests a process that is leaving still accepts.
  *
- * Answers the pattern of a planned stop under load: callers send requests on open connections until the process is
+ * Load pattern: a planned stop under load. Callers send requests on open connections until the process is
  * gone, and what is accepted late is cut off at the end of the grace period, after it has run. Callers that have not
  * learned of the departure yet are served for [settleMillis]; after that, only what ends in any case before [endMillis]
  * is accepted. Both count from the request to stop.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/OwnershipPolicy.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/OwnershipPolicy.kt
@@ -4,7 +4,7 @@
  * Decides what the owner of a record in the key-value service may do while it can't know whether another process has
  * taken over or ended the record.
  *
- * Answers the pattern in which an owner is slow, paused or unreachable for its peers: they take over its batches or end
+ * Load pattern: an owner is slow, paused or unreachable for its peers. They take over its batches or end
  * them in the key-value service only, and the owner runs on with items of long duration, whose results would be the
  * next occasion to notice. All times are ages on the owner's clocks.
  *
