Log and count responses that may belong to another request

The client for targets skipped a response with another id without a line, and accepted others that its connection leaves in doubt. It records both now, with the ids, the number of requests sent on the connection and the reason: an id that was used before, none, two heads joined, bytes left over. What is accepted does not change. The decoder is Netty's own with a look at whether a response has begun. Warnings of libraries at start, which filled the users' record, are no longer written.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.crashes.CrashGuardDependencies
 import bergamotwall.gateway.crashes.SharedCrashGuard
 import bergamotwall.gateway.forwarding.Forwarder
+import bergamotwall.gateway.http.ResponseDoubt
 import bergamotwall.gateway.limits.LimitPublisher
 import bergamotwall.gateway.members.Evacuation
 import bergamotwall.gateway.members.EvacuationDependencies
@@ -234,6 +235,9 @@
         metrics.gauge("connections_opened", "Connections to targets opened since the start.") {
             drivers.client.connectionsOpened
         }
+        metrics.labelledGauge("responses_in_doubt", "Responses that may have belonged to another request.", "reason") {
+            ResponseDoubt.entries.associate { it.name.lowercase() to drivers.client.responsesInDoubt(it) }
+        }
     }
 
     /** Starts the process's peer server and background work. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayMetrics.kt
@@ -8,7 +8,7 @@
 
 /** Counters and latency histograms of a gateway process. Thread-safe. */
 public class GatewayMetrics {
-    private val metrics = MetricsRegistry("bergamotwall_gateway_")
+    internal val metrics = MetricsRegistry("bergamotwall_gateway_")
     private val requests = metrics.counter("requests", "Requests of callers that were answered.", "route", "outcome")
     private val submissions = metrics.counter("submissions", "Submissions of batches.", "route", "outcome")
     private val attempts = metrics.counter("item_attempts", "Attempts to run an item of a batch.", "outcome")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -9,7 +9,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlinx.coroutines.CompletableDeferred
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
@@ -35,6 +35,7 @@
     private val pools = ConcurrentHashMap<String, ConnectionPool>()
     private val opened = AtomicLong()
     private val unread = SharedBuffer()
+    private val doubts = ResponseDoubts()
     private val bootstrap =
         Bootstrap()
             .group(group)
@@ -44,13 +45,15 @@
             .handler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
-                        channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        channel.pipeline().addLast(TargetResponseDecoder(), HttpRequestEncoder())
                     }
                 },
             )
 
     override val connectionsOpened: Long get() = opened.get()
 
+    override fun responsesInDoubt(doubt: ResponseDoubt): Long = doubts.countOf(doubt)
+
     override fun send(
         address: String,
         request: TargetRequest,
@@ -107,7 +110,7 @@
         from.connect(parsed.host, parsed.port).addListener { future ->
             if (future.isSuccess) {
                 val channel = (future as ChannelFuture).channel()
-                onDone(TargetConnection(channel, limits, poolOf(address)::add), null)
+                onDone(TargetConnection(address, channel, limits, doubts, poolOf(address)::add), null)
             } else {
                 onDone(null, future.cause())
             }
@@ -115,10 +118,4 @@
     }
 
     private fun poolOf(address: String): ConnectionPool = pools.computeIfAbsent(address) { ConnectionPool() }
-
-    private companion object {
-        private const val MAX_LINE_BYTES = 8_192
-        private const val MAX_HEADER_BYTES = 65_536
-        private const val MAX_CHUNK_BYTES = 65_536
-    }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
@@ -0,0 +1,19 @@
+package bergamotwall.gateway.http
+
+/** Why bytes that a target sent may not belong to the request that waits for a response. */
+public enum class ResponseDoubt {
+    /** The response names another request; it is skipped. */
+    OTHER_ID,
+
+    /** A request with the same id was sent on the connection before. */
+    REPEATED_ID,
+
+    /** The response names no request, and other requests were sent on the connection before. */
+    NO_ID,
+
+    /** The head of the response contains the beginning of another one. */
+    JOINED_HEADS,
+
+    /** Bytes were received after a complete response, while no request was waiting. */
+    LEFTOVER_BYTES,
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
@@ -1,5 +1,7 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.decisions.ResponseOwner
+import bergamotwall.decisions.SentRequests
 import io.netty.buffer.ByteBufUtil
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
@@ -9,7 +11,12 @@
 import io.netty.handler.codec.http.LastHttpContent
 
 /** Reads the responses on one connection, and derives from them whether and how long the connection can be reused. */
-internal class ResponseReader(private val limits: TargetClientLimits) {
+internal class ResponseReader(
+    private val address: String,
+    private val limits: TargetClientLimits,
+    private val sent: SentRequests,
+    private val doubts: ResponseDoubts,
+) {
     private var skipping = false
 
     /** Whether the connection can be used for another exchange. */
@@ -44,6 +51,7 @@
         val identity = exchange.request.identity
         val echoed = identity?.let { response.headers().get(it.name) }
         skipping = informational || (echoed != null && echoed != identity.value)
+        if (!informational) doubtAbout(exchange.request, response)?.let { record(it, exchange.request, response) }
         if (skipping) {
             keepAlive = keepAlive && informational
         } else {
@@ -54,6 +62,34 @@
         }
     }
 
+    private fun doubtAbout(
+        request: TargetRequest,
+        response: HttpResponse,
+    ): ResponseDoubt? =
+        when (sent.ownerOf(request.identity?.value, echoedIn(response, request))) {
+            ResponseOwner.OTHER -> ResponseDoubt.OTHER_ID
+            ResponseOwner.UNKNOWN -> ResponseDoubt.NO_ID
+            ResponseOwner.CURRENT ->
+                ResponseDoubt.JOINED_HEADS.takeIf { sent.count > 1 && containsStatusLine(response) }
+        }
+
+    /** Records [doubt] about a response that was received while [request] was waiting, null if none was. */
+    fun record(
+        doubt: ResponseDoubt,
+        request: TargetRequest?,
+        response: HttpResponse? = null,
+    ): Unit = doubts.record(doubt, address, request, echoedIn(response, request), sent.count)
+
+    private fun echoedIn(
+        response: HttpResponse?,
+        request: TargetRequest?,
+    ): List<String> = request?.identity?.let { response?.headers()?.getAll(it.name) }.orEmpty()
+
+    /** Whether the head contains the status line of another response, as a head that stopped and the next one do. */
+    private fun containsStatusLine(response: HttpResponse): Boolean =
+        STATUS_LINE.containsMatchIn(response.status().reasonPhrase()) ||
+            response.headers().any { STATUS_LINE.containsMatchIn(it.key) || STATUS_LINE.containsMatchIn(it.value) }
+
     /** Idle timeout that the target advertises, less a safety margin, or the default limit. */
     private fun idleMillis(response: HttpResponse): Long {
         val advertised = response.headers().get("keep-alive")?.let { TIMEOUT.find(it) }
@@ -69,5 +105,8 @@
         private const val IDLE_SHARE_PERCENT = 80
         private const val PERCENT = 100
         private val TIMEOUT = Regex("timeout=(\\d+)")
+
+        /** Status line of RFC 9112, section 4. */
+        private val STATUS_LINE = Regex("HTTP/\\d\\.\\d( \\d{3}|$)")
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetClient.kt
@@ -21,4 +21,7 @@
 
     /** Number of connections opened so far. */
     public val connectionsOpened: Long
+
+    /** Number of responses so far that may have belonged to another request, for the reason [doubt]. */
+    public fun responsesInDoubt(doubt: ResponseDoubt): Long = 0
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.decisions.SentRequests
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
 import org.tinylog.Logger
@@ -20,14 +22,18 @@
  * returns the connection to the pool once the response is complete and no further bytes have arrived.
  */
 internal class TargetConnection(
+    address: String,
     private val channel: Channel,
     limits: TargetClientLimits,
+    doubts: ResponseDoubts,
     private val release: (TargetConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var exchange: NettyExchange? = null
     private var writeFuture: ChannelFuture? = null
     private var responseComplete = false
-    private val reader = ResponseReader(limits)
+    private val sent = SentRequests(MAX_REQUESTS)
+    private val reader = ResponseReader(address, limits, sent, doubts)
+    private val decoder = channel.pipeline().get(TargetResponseDecoder::class.java)
     private var failure: String? = null
 
     init {
@@ -112,6 +118,10 @@
 
     private fun write(next: NettyExchange) {
         val request = next.request
+        if (decoder.insideResponse) reader.record(ResponseDoubt.LEFTOVER_BYTES, request)
+        if (sent.count > 0 && !sent.mayAdd(request.identity?.value)) reader.record(ResponseDoubt.REPEATED_ID, request)
+        sent.add(request.identity?.value)
+        decoder.bodiless = request.method == "HEAD"
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -138,6 +148,7 @@
         when {
             // Bytes that belong to no request: nothing further on this connection can be trusted.
             current == null || responseComplete -> {
+                if (message is HttpResponse) reader.record(ResponseDoubt.LEFTOVER_BYTES, null)
                 reader.keepAlive = false
                 channel.close()
             }
@@ -153,4 +164,8 @@
             }
         }
     }
+
+    private companion object {
+        private const val MAX_REQUESTS = 512
+    }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
@@ -0,0 +1,45 @@
+package bergamotwall.gateway.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+
+/** Netty's decoder, which also tells whether bytes after a complete response have been received. */
+internal class TargetResponseDecoder : HttpResponseDecoder(CONFIG) {
+    /** Whether the responses to the current request have no body, as those to `HEAD`. */
+    var bodiless = false
+
+    /** Whether a part of a response has been received, but not yet its end. */
+    var insideResponse = false
+        private set
+
+    override fun decode(
+        context: ChannelHandlerContext,
+        bytes: ByteBuf,
+        messages: MutableList<Any>,
+    ) {
+        val hasBytes = bytes.isReadable
+        super.decode(context, bytes, messages)
+        if (messages.lastOrNull() is LastHttpContent) {
+            insideResponse = false
+        } else if (hasBytes) {
+            insideResponse = true
+        }
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = bodiless || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        private const val MAX_LINE_BYTES = 8_192
+        private const val MAX_HEADER_BYTES = 65_536
+        private const val MAX_CHUNK_BYTES = 65_536
+        private val CONFIG =
+            HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxChunkSize(MAX_CHUNK_BYTES)
+    }
+}
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Logs.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Logs.kt
@@ -20,4 +20,8 @@
     )
     Configuration.set("level", libraryLevel)
     Configuration.set("level@bergamotwall", level)
+    // Netty looks for a hardware address and Armeria registers its gauges per server; neither warning needs action.
+    Configuration.set("level@io.netty.channel.DefaultChannelId", "error")
+    Configuration.set("level@io.netty.util.internal.MacAddressUtil", "error")
+    Configuration.set("level@io.micrometer", "error")
 }
