--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ConnectionPool.kt
@@ -24,7 +24,7 @@
         if (connection.reusable && !mayCarry(connection, request) || !idle.remove(connection)) return false
         // Another request may have used the connection since.
         val fits = connection.reusable && mayCarry(connection, request)
-        if (!fits) connection.close()
+        if (!connection.reusable) connection.close() else if (!fits) add(connection)
         return fits
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -58,15 +58,14 @@
     ) {
         channel.eventLoop().execute {
             if (channel.isActive && !decoder.insideResponse) {
-                exchange = next
-                channel.config().isAutoRead = true
                 next.bind(this)
-                if (!next.cancelled) write(next)
+                if (next.cancelled) release(this) else write(next)
             } else {
                 if (channel.isActive) reader.record(ResponseDoubt.LEFTOVER_BYTES, null)
                 channel.close()
-                onUnusable()
+                if (!next.cancelled) onUnusable()
             }
+            if (exchange !== next && next.cancelled) next.fail("cancelled", mayHaveRun = false)
         }
     }
 
@@ -138,6 +137,8 @@
 
     private fun write(next: NettyExchange) {
         val request = next.request
+        exchange = next
+        channel.config().isAutoRead = true
         sent.add(request.identity?.value)
         decoder.bodiless = request.bodiless
         val message =
@@ -190,6 +191,6 @@
     }
 
     private companion object {
-        private const val MAX_REQUESTS = 512
+        private const val MAX_REQUESTS = 128
     }
 }
