Fail a response whose head has been joined also on a new connection

A head with another status line, as leniently as the decoder reads one, or with several ids ends the exchange at any count. A response to another request is skipped only if it has an end. Empty lines between responses count as nothing.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/SentRequests.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/SentRequests.kt
@@ -35,9 +35,8 @@
     ): ResponseOwner =
         when {
             echoed.isEmpty() -> if (count <= 1) ResponseOwner.CURRENT else ResponseOwner.UNKNOWN
-            echoed.all { it == id } -> ResponseOwner.CURRENT
-            echoed.none { it == id } -> ResponseOwner.OTHER
-            // The heads of two responses have been joined.
-            else -> ResponseOwner.UNKNOWN
+            // The heads of two responses may have been joined, also of two responses to one request.
+            echoed.size > 1 -> ResponseOwner.UNKNOWN
+            else -> if (echoed.single() == id) ResponseOwner.CURRENT else ResponseOwner.OTHER
         }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
@@ -11,6 +11,9 @@
     /** The response names no request, and other requests were sent on the connection before. */
     NO_ID,
 
+    /** The response names several requests. */
+    SEVERAL_IDS,
+
     /** The head of the response contains the beginning of another one. */
     JOINED_HEADS,
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
@@ -51,14 +51,18 @@
         val request = exchange.request
         val informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val doubt = doubtAbout(request, response, informational)
-        doubt?.let { record(it, request, response) }
         skipping = informational || doubt == ResponseDoubt.OTHER_ID
-        if (doubt != null) keepAlive = false
-        if (skipping || doubt != null) return doubt == null || doubt == ResponseDoubt.OTHER_ID
-        keepAlive = keepAlive && HttpUtil.isKeepAlive(response) && leavesNoDoubt(request, response)
-        idleUntilNanos = System.nanoTime() + idleMillis(response) * NANOS_PER_MILLI
-        exchange.head(ResponsePart.Head(response.status().code(), response.headers().map { Header(it.key, it.value) }))
-        return true
+        if (doubt != null) {
+            record(doubt, request, response)
+            keepAlive = false
+        } else if (!informational) {
+            keepAlive = keepAlive && HttpUtil.isKeepAlive(response) && leavesNoDoubt(request, response)
+            idleUntilNanos = System.nanoTime() + idleMillis(response) * NANOS_PER_MILLI
+            val headers = response.headers().map { Header(it.key, it.value) }
+            exchange.head(ResponsePart.Head(response.status().code(), headers))
+        }
+        // The response that is due follows another one only if that has an end.
+        return doubt == null || doubt == ResponseDoubt.OTHER_ID && isFramed(response)
     }
 
     private fun doubtAbout(
@@ -66,23 +70,26 @@
         response: HttpResponse,
         informational: Boolean,
     ): ResponseDoubt? {
-        val owner = sent.ownerOf(request.identity?.value, echoedIn(response, request))
+        val echoed = echoedIn(response, request)
+        val owner = sent.ownerOf(request.identity?.value, echoed)
         return when {
-            sent.count > 1 && containsStatusLine(response) -> ResponseDoubt.JOINED_HEADS
+            containsStatusLine(response) -> ResponseDoubt.JOINED_HEADS
             informational || owner == ResponseOwner.CURRENT -> null
             owner == ResponseOwner.OTHER -> ResponseDoubt.OTHER_ID
-            echoedIn(response, request).isNotEmpty() -> ResponseDoubt.JOINED_HEADS
+            echoed.isNotEmpty() -> ResponseDoubt.SEVERAL_IDS
             else -> ResponseDoubt.NO_ID.takeUnless { request.respondedInOrder }
         }
     }
 
+    private fun isFramed(response: HttpResponse): Boolean =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
     /** Whether the responses to further requests on the connection could be told from one like [response]. */
     private fun leavesNoDoubt(
         request: TargetRequest,
         response: HttpResponse,
     ): Boolean =
-        request.respondedInOrder ||
-            (request.identity == null || echoedIn(response, request).isNotEmpty()) && !containsStatusLine(response)
+        request.respondedInOrder || request.identity == null || echoedIn(response, request).isNotEmpty()
 
     /** Records [doubt] about a response that was received while [request] was waiting, null if none was. */
     fun record(
@@ -117,7 +124,7 @@
         private const val PERCENT = 100
         private val TIMEOUT = Regex("timeout=(\\d+)")
 
-        /** Status line of RFC 9112, section 4. */
-        private val STATUS_LINE = Regex("HTTP/\\d\\.\\d( \\d{3}|$)")
+        /** Status line (RFC 9112, section 4), as leniently as the decoder reads it. */
+        private val STATUS_LINE = Regex("HTTP/\\d+\\.\\d+\\s+\\d{3}(?!\\S)", RegexOption.IGNORE_CASE)
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
@@ -21,18 +21,17 @@
         bytes: ByteBuf,
         messages: MutableList<Any>,
     ) {
-        val hasBytes = bytes.isReadable
+        // Empty lines before a response belong to none (RFC 9112, section 2.2).
+        val begins = bytes.forEachByte { it == CARRIAGE_RETURN || it == NEWLINE } >= 0
         super.decode(context, bytes, messages)
-        if (messages.lastOrNull() is LastHttpContent) {
-            insideResponse = false
-        } else if (hasBytes) {
-            insideResponse = true
-        }
+        insideResponse = messages.lastOrNull() !is LastHttpContent && (insideResponse || begins)
     }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = bodiless || super.isContentAlwaysEmpty(message)
 
     private companion object {
+        private const val NEWLINE = '\n'.code.toByte()
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val MAX_LINE_BYTES = 8_192
         private const val MAX_HEADER_BYTES = 65_536
         private const val MAX_CHUNK_BYTES = 65_536
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/RepeatingTarget.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/RepeatingTarget.kt
@@ -23,9 +23,6 @@
 
     val address: String get() = "127.0.0.1:${server.localPort}"
 
-    /** Number of connections accepted. */
-    val connections: Int get() = sockets.size
-
     init {
         thread(isDaemon = true) {
             try {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseOfEarlierRequestTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseOfEarlierRequestTest.kt
@@ -8,7 +8,9 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
+import strikt.assertions.isContainedIn
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import java.util.concurrent.TimeUnit
 
 /** What a target sends late on a kept connection is not taken for the response to a later request. */
@@ -25,19 +27,18 @@
     }
 
     /**
-     * A first request with the id [firstId] is answered with [first]. Before the second one, with [secondId], is
-     * answered with [second], [leftover] comes on the same connection. The second one gets its own response, or may
-     * also fail if [mayFail].
+     * The requests with the ids [ids] are sent one after the other and answered with [responses]; a request that is not
+     * the first one on its connection is answered with [leftover] before that. The callers get what is [expected], null
+     * for a failure, over [connections].
      */
     data class Case(
         val name: String,
-        val firstId: String?,
-        val first: String,
+        val ids: List<String?>,
+        val responses: List<String>,
         val leftover: String,
-        val secondId: String?,
-        val second: String = responseOf(FAILURE, "own", secondId),
-        val secondMethod: String = "POST",
-        val mayFail: Boolean = false,
+        val expected: List<String?>,
+        val connections: Int,
+        val methods: List<String> = ids.map { "POST" },
     ) {
         override fun toString(): String = name
     }
@@ -45,13 +46,21 @@
     @ParameterizedTest
     @MethodSource("cases")
     fun `a request gets the response that the target has sent to it`(case: Case) {
-        val target = RepeatingTarget(listOf(case.first, case.second), case.leftover).also { target = it }
-        expectThat(send(target, case.firstId, "POST")).isEqualTo(textOf(case.first))
-        val second = send(target, case.secondId, case.secondMethod)
-        if (second != null || !case.mayFail) expectThat(second).isEqualTo(textOf(case.second))
+        val target = RepeatingTarget(case.responses, case.leftover).also { target = it }
+        expectThat(case.ids.zip(case.methods) { id, method -> send(target, id, method) }).isEqualTo(case.expected)
+        expectThat(client.connectionsOpened).isEqualTo(case.connections.toLong())
     }
 
-    /** The status and the body of a response, or null if it failed. */
+    @ParameterizedTest(name = "{0} bytes")
+    @MethodSource("lengths")
+    fun `the beginning of a response does not join the next one`(length: Int) {
+        val responses = listOf(responseOf(OK, "first", "1"), responseOf(FAILURE, "own", "2"))
+        val target = RepeatingTarget(responses, BEGINNING.take(length)).also { target = it }
+        send(target, "1", "POST")
+        expectThat(send(target, "2", "POST")).isContainedIn(listOf("500 own", null))
+    }
+
+    /** The status and the body of a response, or null if it failed; the request may have run then. */
     private fun send(
         target: RepeatingTarget,
         id: String?,
@@ -65,7 +74,9 @@
                 val parts = generateSequence { runBlocking { exchange.next() } }.toList()
                 val status = (parts.first() as? ResponsePart.Head)?.status
                 val body = parts.filterIsInstance<ResponsePart.Body>().joinToString("") { String(it.bytes) }
-                "$status $body".takeIf { parts.last() is ResponsePart.End }
+                val last = parts.last()
+                if (last is ResponsePart.Broken) expectThat(last.mayHaveRun).isTrue()
+                "$status $body".takeIf { last is ResponsePart.End }
             }
         }
 
@@ -93,51 +104,73 @@
             return "HTTP/1.1 $status\r\n${echo}Transfer-Encoding: chunked\r\n\r\n${body.length}\r\n$body\r\n0\r\n\r\n"
         }
 
-        /** The status and the body of [response]. */
-        private fun textOf(response: String): String {
-            val status = response.substringAfter(' ').substringBefore(' ')
-            val body = response.substringAfter("\r\n\r\n")
-            return if ("chunked" in response) "$status ${body.lines()[1]}" else "$status $body"
-        }
+        private const val BEGINNING = "HTTP/1.1 200 OK\r\nDate: today\r\nServer: s\r\n"
+        private const val OPEN_FIELD = "HTTP/1.1 200 OK\r\nX: a"
 
-        private fun repeated(
+        @JvmStatic
+        fun lengths(): List<Int> = (1..BEGINNING.length).toList()
+
+        /** A second request with [secondId] that fails at a target which has sent [first] to one with [firstId]. */
+        private fun second(
             name: String,
             firstId: String?,
             first: String,
             secondId: String?,
-        ) = Case(name, firstId, first, first, secondId)
+            connections: Int,
+            leftover: String = first,
+            second: String = responseOf(FAILURE, "own", secondId),
+            expected: String? = "500 own",
+        ) = Case(
+            name,
+            listOf(firstId, secondId),
+            listOf(first, second),
+            leftover,
+            listOf(if (REFUSAL in first) "503 first" else "200 first", expected),
+            connections
+        )
 
-        /** The bytes after which the beginning of a response may stop. */
-        private fun beginnings(): List<Case> {
-            val response = "HTTP/1.1 200 OK\r\nDate: today\r\nServer: s\r\n"
-            return (1..response.length).map { length ->
-                val beginning = response.take(length)
+        /** A single request that gets no response that could be trusted. */
+        private fun single(
+            name: String,
+            id: String?,
+            response: String,
+        ) = Case(name, listOf(id), listOf(response), "", listOf(null), connections = 1)
+
+        @JvmStatic
+        fun cases(): List<Case> {
+            val first = responseOf(OK, "first", "1")
+            val anonymous = responseOf(OK, "first", null)
+            val unframed = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nfirst"
+            val via = responseOf(FAILURE, "own", "2").replace("Id", "Via: HTTP/1.1 127.0.0.1:80\r\nId")
+            return listOf(
+                second("another id", "1", first, "2", connections = 1),
+                second("the same id", "1", first, "1", connections = 2),
+                second("the same id, in chunks", "1", chunkedResponseOf(OK, "first", "1"), "1", connections = 2),
+                second("the same id, refused first", "1", responseOf(REFUSAL, "first", "1"), "1", connections = 2),
+                second("no id", null, anonymous, null, connections = 2),
+                second("an id, then none", "1", first, null, connections = 2),
+                second("no id, then one", null, anonymous, "1", connections = 1, expected = null),
+                second("no echo", "1", anonymous, "2", connections = 2),
+                second("a copy without an echo", "1", first, "2", connections = 1, anonymous, expected = null),
+                second("a copy without an end", "1", first, "2", connections = 1, unframed, expected = null),
+                second("an empty line", "1", first, "2", connections = 1, "\r\n"),
+                second("a field that names a version", "1", first, "2", connections = 1, "", via),
                 Case(
-                    "the beginning of a response: ${beginning.replace("\r", "\\r").replace("\n", "\\n")}",
-                    firstId = "1",
-                    first = responseOf(OK, "first", "1"),
-                    leftover = beginning,
-                    secondId = "2",
-                    mayFail = true,
-                )
+                    "a method whose responses have no body",
+                    listOf("1", "2"),
+                    listOf(first, "HTTP/1.1 500 Error\r\nId: 2\r\n\r\n"),
+                    first,
+                    listOf("200 first", "500 "),
+                    connections = 2,
+                    listOf("POST", "HEAD"),
+                ),
+                single("the heads of the only two responses", "1", OPEN_FIELD + responseOf(FAILURE, "own", "1")),
+                single("the same with two ids", "1", "HTTP/1.1 200 OK\r\nId: 1\r\nX: " + responseOf(FAILURE, "", "1")),
+                single("the same without an id", null, OPEN_FIELD + responseOf(FAILURE, "own", null)),
+            ) + listOf("HTTP/1.1  500 E", "HTTP/1.1\t500 E", "http/1.1 500 E", "HTTP/1.10 500 E").map { line ->
+                val own = "$line\r\nId: 2\r\nContent-Length: 3\r\n\r\nown"
+                second("the status line $line", "1", first, "2", connections = 1, OPEN_FIELD, own, expected = null)
             }
         }
-
-        @JvmStatic
-        fun cases(): List<Case> =
-            listOf(
-                repeated("another id", "1", responseOf(OK, "first", "1"), "2"),
-                repeated("the same id", "1", responseOf(OK, "first", "1"), "1"),
-                repeated("the same id, in chunks", "1", chunkedResponseOf(OK, "first", "1"), "1"),
-                repeated("the same id, refused first", "1", responseOf(REFUSAL, "first", "1"), "1"),
-                repeated("no id", null, responseOf(OK, "first", null), null),
-                repeated("an id, then none", "1", responseOf(OK, "first", "1"), null),
-                repeated("no id, then one", null, responseOf(OK, "first", null), "1").copy(mayFail = true),
-                repeated("no echo", "1", responseOf(OK, "first", null), "2").copy(mayFail = true),
-                repeated("an echo, then a copy without one", "1", responseOf(OK, "first", "1"), "2")
-                    .copy(leftover = responseOf(OK, "first", null), mayFail = true),
-                repeated("a method whose responses have no body", "1", responseOf(OK, "first", "1"), "2")
-                    .copy(secondMethod = "HEAD", second = "HTTP/1.1 500 Error\r\nId: 2\r\n\r\n", mayFail = true),
-            ) + beginnings()
     }
 }
