--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseOfEarlierRequestTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseOfEarlierRequestTest.kt
@@ -117,18 +117,18 @@
             first: String,
             secondId: String?,
             connections: Int,
-            leftover: String = first,
-            second: String = responseOf(FAILURE, "own", secondId),
-            expected: String? = "500 own",
         ) = Case(
             name,
             listOf(firstId, secondId),
-            listOf(first, second),
-            leftover,
-            listOf(if (REFUSAL in first) "503 first" else "200 first", expected),
+            listOf(first, responseOf(FAILURE, "own", secondId)),
+            leftover = first,
+            listOf(if (REFUSAL in first) "503 first" else "200 first", "500 own"),
             connections
         )
 
+        private fun Case.failing(leftover: String): Case =
+            copy(leftover = leftover, expected = listOf(expected.first(), null))
+
         /** A single request that gets no response that could be trusted. */
         private fun single(
             name: String,
@@ -149,12 +149,13 @@
                 second("the same id, refused first", "1", responseOf(REFUSAL, "first", "1"), "1", connections = 2),
                 second("no id", null, anonymous, null, connections = 2),
                 second("an id, then none", "1", first, null, connections = 2),
-                second("no id, then one", null, anonymous, "1", connections = 1, expected = null),
+                second("no id, then one", null, anonymous, "1", connections = 1).failing(anonymous),
                 second("no echo", "1", anonymous, "2", connections = 2),
-                second("a copy without an echo", "1", first, "2", connections = 1, anonymous, expected = null),
-                second("a copy without an end", "1", first, "2", connections = 1, unframed, expected = null),
-                second("an empty line", "1", first, "2", connections = 1, "\r\n"),
-                second("a field that names a version", "1", first, "2", connections = 1, "", via),
+                second("a copy without an echo", "1", first, "2", connections = 1).failing(anonymous),
+                second("a copy without an end", "1", first, "2", connections = 1).failing(unframed),
+                second("an empty line", "1", first, "2", connections = 1).copy(leftover = "\r\n"),
+                second("a field that names a version", "1", first, "2", connections = 1)
+                    .copy(leftover = "", responses = listOf(first, via)),
                 Case(
                     "a method whose responses have no body",
                     listOf("1", "2"),
@@ -169,7 +170,9 @@
                 single("the same without an id", null, OPEN_FIELD + responseOf(FAILURE, "own", null)),
             ) + listOf("HTTP/1.1  500 E", "HTTP/1.1\t500 E", "http/1.1 500 E", "HTTP/1.10 500 E").map { line ->
                 val own = "$line\r\nId: 2\r\nContent-Length: 3\r\n\r\nown"
-                second("the status line $line", "1", first, "2", connections = 1, OPEN_FIELD, own, expected = null)
+                second("the status line $line", "1", first, "2", connections = 1)
+                    .copy(responses = listOf(first, own))
+                    .failing(OPEN_FIELD)
             }
         }
     }
