--- a/peers/src/test/kotlin/bergamotwall/peers/PeerSocketsTest.kt
+++ b/peers/src/test/kotlin/bergamotwall/peers/PeerSocketsTest.kt
@@ -7,8 +7,11 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -17,6 +20,8 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import java.io.DataInputStream
+import java.io.DataOutputStream
 import java.net.ServerSocket
 import java.net.Socket
 import java.nio.ByteBuffer
@@ -91,6 +96,53 @@
             }
         }
 
+    /** Before the third request, the peer responds to the first, which its caller gives up, and again to the second. */
+    @Test
+    fun `a late or repeated response is not that to another request`(): Unit =
+        runBlocking {
+            ServerSocket(0).use { peer ->
+                val received = CompletableDeferred<Unit>()
+                val serving = launch(Dispatchers.IO) { serveLate(peer, received) }
+                PeerClient().use { client ->
+                    val address = "127.0.0.1:${peer.localPort}"
+                    val first = async { client.sendRequest(address, ExplainQuery("1"), HOUR) }
+                    received.await()
+                    expectThat(client.sendRequest(address, ExplainQuery("2"), TIMEOUT).get()).isEqualTo(re("2"))
+                    first.cancelAndJoin()
+                    expectThat(client.sendRequest(address, ExplainQuery("3"), TIMEOUT).get()).isEqualTo(re("3"))
+                }
+                serving.join()
+            }
+        }
+
+    /** Reads three requests on one connection; responds to the second, then to all of them. */
+    private fun serveLate(
+        server: ServerSocket,
+        received: CompletableDeferred<Unit>,
+    ) = server.accept().use { socket ->
+        val input = DataInputStream(socket.getInputStream())
+        val requests =
+            List(3) { index ->
+                val request = decodeFrame(input.readNBytes(input.readInt())).envelope
+                if (index == 0) received.complete(Unit)
+                if (index == 1) respond(socket, request)
+                request
+            }
+        requests.forEach { respond(socket, it) }
+    }
+
+    private fun respond(
+        socket: Socket,
+        request: Envelope,
+    ) {
+        val frame = encodeFrame(Envelope(request.id, true, null, re((request.body as ExplainQuery).subject)))
+        val output = DataOutputStream(socket.getOutputStream())
+        output.writeInt(frame.size)
+        output.write(frame)
+    }
+
+    private fun re(subject: String) = ExplainQuery("re: $subject")
+
     @ParameterizedTest
     @ValueSource(ints = [-1, 0, 3, 100_000_000])
     fun `a malformed frame closes its own connection only`(length: Int): Unit =
