Forward and route on the path and query as they were sent

Cause: Armeria builds `:path` from its normalised request target, and CallerApi and TargetRelay used it. Paths of items and reward calls were changed over a relaying peer only, so the client for targets is ruled out.

Peers of older builds still normalise what they relay.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
@@ -6,6 +6,7 @@
 import bergamotwall.gateway.http.TargetRequest
 import bergamotwall.gateway.http.isHopByHop
 import bergamotwall.gateway.http.streamedResponse
+import bergamotwall.gateway.http.withRawPath
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLoad
@@ -36,7 +37,8 @@
         context: ServiceRequestContext,
         request: HttpRequest,
     ): HttpResponse {
-        val response = scope.future { relay(request.aggregate().await()) }
+        val response =
+            scope.future { request.aggregate().await().withRawPath(context)?.let { relay(it) } ?: notRun() }
         context.whenRequestCancelling().thenAccept { response.cancel(true) }
         return HttpResponse.of(response)
     }
@@ -47,7 +49,7 @@
         val target = list.targets.values.firstOrNull { accepts() && it.address == address && !list.isLeaving(it) }
         val exchange = target?.let { client.sendDirectly(it.address, requestOf(request)) }
         return if (target == null || exchange == null) {
-            outcome(RelayHeaders.NOT_RUN)
+            notRun()
         } else {
             val load = dependencies.loads.of(target.id)
             load.sent(dependencies.clock.monotonicMillis())
@@ -106,6 +108,8 @@
             else -> RelayHeaders.UNKNOWN
         }
 
+    private fun notRun(): HttpResponse = outcome(RelayHeaders.NOT_RUN)
+
     private fun outcome(value: String): HttpResponse =
         HttpResponse.of(ResponseHeaders.builder(HttpStatus.BAD_GATEWAY).add(RelayHeaders.OUTCOME, value).build())
 
