Skip a repeated response that has no body by its status

A response to another request was skipped only with a length or in chunks; 204 and 304 end with their heads.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -82,7 +83,9 @@
     }
 
     private fun isFramed(response: HttpResponse): Boolean =
-        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        HttpUtil.isContentLengthSet(response) ||
+            HttpUtil.isTransferEncodingChunked(response) ||
+            response.status() in BODILESS
 
     /** Whether the responses to further requests on the connection could be told from one like [response]. */
     private fun leavesNoDoubt(
@@ -122,6 +125,7 @@
         /** A request sent closer to the timeout could reach the target after it has closed the connection. */
         private const val IDLE_SHARE_PERCENT = 80
         private const val PERCENT = 100
+        private val BODILESS = setOf(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED)
         private val TIMEOUT = Regex("timeout=(\\d+)")
 
         /** Status line (RFC 9112, section 4), as leniently as the decoder reads it. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -17,7 +17,7 @@
 
 /**
  * A connection to a target, with at most one exchange at a time. [start], [cancelExchange], [resumeReading],
- * [reusable] and [close] may be called on any thread; everything else runs on the channel's event loop. [release]
+ * [reusable], [sent] and [close] may be used on any thread; everything else runs on the channel's event loop. [release]
  * returns the connection to the pool once the response is complete and no further bytes have arrived.
  */
 internal class TargetConnection(
@@ -191,6 +191,7 @@
     }
 
     private companion object {
+        /** Bounds the memory that a connection takes for its ids; a new connection in so many costs little. */
         private const val MAX_REQUESTS = 128
     }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseOfEarlierRequestTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/ResponseOfEarlierRequestTest.kt
@@ -140,6 +140,7 @@
         fun cases(): List<Case> {
             val first = responseOf(OK, "first", "1")
             val anonymous = responseOf(OK, "first", null)
+            val empty = "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n"
             val unframed = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nfirst"
             val via = responseOf(FAILURE, "own", "2").replace("Id", "Via: HTTP/1.1 127.0.0.1:80\r\nId")
             return listOf(
@@ -153,6 +154,7 @@
                 second("no echo", "1", anonymous, "2", connections = 2),
                 second("a copy without an echo", "1", first, "2", connections = 1).failing(anonymous),
                 second("a copy without an end", "1", first, "2", connections = 1).failing(unframed),
+                second("a response without a body", "1", first, "2", connections = 1).copy(leftover = empty),
                 second("an empty line", "1", first, "2", connections = 1).copy(leftover = "\r\n"),
                 second("a field that names a version", "1", first, "2", connections = 1)
                     .copy(leftover = "", responses = listOf(first, via)),
