--- a/bench/src/main/kotlin/bergamotwall/bench/DecideFixture.kt
+++ b/bench/src/main/kotlin/bergamotwall/bench/DecideFixture.kt
@@ -1,12 +1,12 @@
 package bergamotwall.bench
 
-import bergamotwall.decisions.DispatchDecision
-import bergamotwall.decisions.DispatchEvent
-import bergamotwall.decisions.DispatchLimits
-import bergamotwall.decisions.DispatchTarget
-import bergamotwall.decisions.Dispatcher
-import bergamotwall.decisions.shardCount
-import bergamotwall.decisions.shardOfTarget
+import bergamotwall.decisions.placement.DispatchDecision
+import bergamotwall.decisions.placement.DispatchEvent
+import bergamotwall.decisions.placement.DispatchLimits
+import bergamotwall.decisions.placement.DispatchTarget
+import bergamotwall.decisions.placement.Dispatcher
+import bergamotwall.decisions.placement.shardCount
+import bergamotwall.decisions.placement.shardOfTarget
 import bergamotwall.model.DataCentre
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.Fingerprint
--- a/controller/src/main/kotlin/bergamotwall/controller/PlanService.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/PlanService.kt
@@ -1,9 +1,9 @@
 package bergamotwall.controller
 
-import bergamotwall.decisions.Confirmation
-import bergamotwall.decisions.confirm
-import bergamotwall.decisions.planDrain
-import bergamotwall.decisions.planIntent
+import bergamotwall.decisions.membership.Confirmation
+import bergamotwall.decisions.membership.confirm
+import bergamotwall.decisions.membership.planDrain
+import bergamotwall.decisions.membership.planIntent
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.model.Configuration
 import bergamotwall.model.Confirmed
--- a/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
+++ b/controller/src/main/kotlin/bergamotwall/controller/Rollout.kt
@@ -1,8 +1,8 @@
 package bergamotwall.controller
 
-import bergamotwall.decisions.RolloutGoal
-import bergamotwall.decisions.RolloutReplica
-import bergamotwall.decisions.decideRollout
+import bergamotwall.decisions.weights.RolloutGoal
+import bergamotwall.decisions.weights.RolloutReplica
+import bergamotwall.decisions.weights.decideRollout
 import bergamotwall.drivers.EngineDriver
 import bergamotwall.model.ModelIntent
 import bergamotwall.model.TargetId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/AdmissionControl.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/AdmissionControl.kt
@@ -1,5 +1,9 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
+import bergamotwall.decisions.crashes.CrashSuspicion
+import bergamotwall.decisions.crashes.SuspicionVerdict
+import bergamotwall.decisions.placement.DispatchLimits
+import bergamotwall.decisions.placement.expectedMillis
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
--- a/decisions/src/main/kotlin/bergamotwall/decisions/AdmissionQueue.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/AdmissionQueue.kt
@@ -1,5 +1,7 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
+import bergamotwall.decisions.placement.DispatchDecision
+import bergamotwall.decisions.placement.Targets
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.NodeId
 import bergamotwall.model.PriorityClass
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Headroom.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/Headroom.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
+import bergamotwall.decisions.Ewma
 import bergamotwall.model.PriorityClass
 import kotlin.math.ceil
 import kotlin.math.max
--- a/decisions/src/main/kotlin/bergamotwall/decisions/LeaveAdmission.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/LeaveAdmission.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
 /**
  * Decides which requests a process that is leaving still accepts.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/LimitSenders.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/LimitSenders.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
+import bergamotwall.decisions.hashOf
 import bergamotwall.model.NodeId
 import bergamotwall.model.TargetId
 
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RequestLimit.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/RequestLimit.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
 import kotlin.math.ceil
 
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RetryBudget.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/RetryBudget.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
 /**
  * Token bucket that limits retries to a share of first attempts, so that an outage does not cause a retry storm.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/TailEstimator.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/TailEstimator.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.math.ceil
--- a/decisions/src/main/kotlin/bergamotwall/decisions/WaitEstimator.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/WaitEstimator.kt
@@ -1,4 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
+
+import bergamotwall.decisions.Ewma
 
 /** Estimates the waiting time of a new request from recent run times. Not thread-safe. */
 internal class WaitEstimator {
--- a/decisions/src/main/kotlin/bergamotwall/decisions/GroupTracker.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/GroupTracker.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
+import bergamotwall.decisions.admission.TailEstimator
 import bergamotwall.model.GroupSpec
 
 /** Generations of a group, by number, to [start] and to [cancel] next. */
--- a/decisions/src/main/kotlin/bergamotwall/decisions/OwnershipPolicy.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/OwnershipPolicy.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
 /**
  * Decides what the owner of a record in the key-value service may do while it can't know whether another process has
--- a/decisions/src/main/kotlin/bergamotwall/decisions/ReceiptDecision.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ReceiptDecision.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.Receipt
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RewardPool.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/RewardPool.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
 /**
  * The available targets of a service that scores texts: their [slots], the requests [running] or waiting there, of
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RewardSelection.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/RewardSelection.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
 /**
  * Selects the reward calls to be sent to the targets in [pool] now; returns their tickets, most urgent first.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RouteOwners.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/RouteOwners.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
+import bergamotwall.decisions.ownerOf
 import bergamotwall.model.NodeId
 
 /**
--- a/decisions/src/main/kotlin/bergamotwall/decisions/WaitingReward.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/WaitingReward.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
 /**
  * A reward call that waits to be sent, identified by its [ticket]. [dueAtMillis] is the time at which its batch is due.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/CrashSuspicion.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/crashes/CrashSuspicion.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.crashes
 
+import bergamotwall.decisions.lruSet
 import bergamotwall.model.CrashRecord
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.TargetId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Interruption.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/crashes/Interruption.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.crashes
 
 /**
  * A run that ended because its target ended the connection. [startedAtMillis] is the start of the target's incarnation,
--- a/decisions/src/main/kotlin/bergamotwall/decisions/InterruptionKey.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/crashes/InterruptionKey.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.crashes
 
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.TargetId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/InterruptionSharing.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/crashes/InterruptionSharing.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.crashes
 
 /** Whether other processes know of an interruption. */
 public enum class InterruptionSharing {
--- a/decisions/src/main/kotlin/bergamotwall/decisions/InterruptionVerdict.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/crashes/InterruptionVerdict.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.crashes
 
 /** Whether an interruption was the crash of its target. */
 public enum class InterruptionVerdict {
--- a/decisions/src/main/kotlin/bergamotwall/decisions/LeaseHolding.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/duties/LeaseHolding.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.duties
 
 import bergamotwall.model.FencingNumber
 
--- a/decisions/src/main/kotlin/bergamotwall/decisions/ConfigurationAdoption.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/ConfigurationAdoption.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 import bergamotwall.model.AppliedPlan
 import bergamotwall.model.Configuration
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Departure.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/Departure.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 /**
  * The departure of the target's incarnation that started at [startedAtMillis], null if unknown, and of earlier ones.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/EntryAddresses.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/EntryAddresses.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
+import bergamotwall.decisions.hashOf
 import bergamotwall.model.DataCentre
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
--- a/decisions/src/main/kotlin/bergamotwall/decisions/MembershipTiming.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/MembershipTiming.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 /**
  * Timing of [Membership]: a suspect is declared dead after [suspicionMillis], and a dead member is removed after
--- a/decisions/src/main/kotlin/bergamotwall/decisions/NewsPause.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/NewsPause.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 /**
  * How long a watch on the key-value service pauses after a change before it asks for more: a [millisPerMember] for each
--- a/decisions/src/main/kotlin/bergamotwall/decisions/WatchedKeys.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/WatchedKeys.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 /**
  * Local view of the keys under one watched prefix of the key-value service. Not thread-safe.
--- a/decisions/src/main/kotlin/bergamotwall/decisions/DispatchDecision.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/DispatchDecision.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
 import bergamotwall.model.Problem
 import bergamotwall.model.RequestId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/DispatchLimits.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/DispatchLimits.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
 /**
  * Limits of a [Dispatcher].
--- a/decisions/src/main/kotlin/bergamotwall/decisions/DispatchLoad.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/DispatchLoad.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
 /**
  * Load of a dispatcher: [queued] and [running] requests, the pooled [capacity] of its usable targets, and the part of
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Dispatcher.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/Dispatcher.kt
@@ -1,5 +1,11 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.admission.AdmissionControl
+import bergamotwall.decisions.admission.AdmissionQueue
+import bergamotwall.decisions.admission.Headroom
+import bergamotwall.decisions.admission.QueuedRequest
+import bergamotwall.decisions.admission.RequestQueues
+import bergamotwall.decisions.crashes.CrashSuspicion
 import bergamotwall.model.CrashRecord
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.NodeId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/PermitTable.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/PermitTable.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.admission.Headroom
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.NodeId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Placement.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/Placement.kt
@@ -1,5 +1,8 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.crashes.CrashAttribution
+import bergamotwall.decisions.crashes.CrashSuspicion
+import bergamotwall.decisions.crashes.SuspicionVerdict
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.TargetId
 import bergamotwall.model.TargetReport
--- a/decisions/src/main/kotlin/bergamotwall/decisions/PrefixMap.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/PrefixMap.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.lruMap
 import bergamotwall.model.TargetId
 
 /** Targets that probably have a prompt prefix in their cache: those it was sent to, corrected by their cache events. */
--- a/decisions/src/main/kotlin/bergamotwall/decisions/RunFeedback.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/RunFeedback.kt
@@ -1,5 +1,7 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.admission.WaitEstimator
+import bergamotwall.decisions.crashes.CrashSuspicion
 import bergamotwall.model.RunFinished
 import bergamotwall.model.RunOutcome
 
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Shards.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/Shards.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.hashOf
 import bergamotwall.model.TargetId
 import kotlin.math.absoluteValue
 
--- a/decisions/src/main/kotlin/bergamotwall/decisions/TargetChoice.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/TargetChoice.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
 import bergamotwall.model.TargetId
 import kotlin.random.Random
--- a/decisions/src/main/kotlin/bergamotwall/decisions/TargetState.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/TargetState.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.Ewma
 import bergamotwall.model.DataCentre
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.RequestId
--- a/decisions/src/main/kotlin/bergamotwall/decisions/Targets.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/Targets.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.Ewma
 import bergamotwall.model.TargetId
 
 /** Targets of one dispatcher, by id and by position. Not thread-safe. */
--- a/decisions/src/main/kotlin/bergamotwall/decisions/ResponseOwner.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/responses/ResponseOwner.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.responses
 
 /** To which request a response on a connection belongs. */
 public enum class ResponseOwner {
--- a/decisions/src/main/kotlin/bergamotwall/decisions/SentRequests.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/responses/SentRequests.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.responses
 
+import bergamotwall.decisions.hashOf
 import java.util.concurrent.ConcurrentHashMap
 
 /**
--- a/decisions/src/main/kotlin/bergamotwall/decisions/EngineVersion.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/weights/EngineVersion.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.weights
 
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
--- a/decisions/src/main/kotlin/bergamotwall/decisions/LoadConcurrency.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/weights/LoadConcurrency.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.weights
 
 /**
  * Limits how many engines load weights at the same time, by what the weight store turns out to bear. Not thread-safe.
--- a/decisions/src/test/kotlin/bergamotwall/decisions/LeaveAdmissionTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/admission/LeaveAdmissionTest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RequestLimitTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/admission/RequestLimitTest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.admission
 
 import bergamotwall.model.NodeId
 import bergamotwall.model.TargetId
--- a/decisions/src/test/kotlin/bergamotwall/decisions/BatchDeliveryTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/batches/BatchDeliveryTest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
 import bergamotwall.model.BatchOrder
 import bergamotwall.model.GroupSpec
--- a/decisions/src/test/kotlin/bergamotwall/decisions/GroupTrackerTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/batches/GroupTrackerTest.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
+import bergamotwall.decisions.admission.TailEstimator
 import bergamotwall.model.GroupSpec
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
--- a/decisions/src/test/kotlin/bergamotwall/decisions/ItemAssignmentTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/batches/ItemAssignmentTest.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
+import bergamotwall.decisions.placement.CandidateTarget
 import bergamotwall.model.TargetId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RouteOwnersTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/batches/RouteOwnersTest.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.batches
 
+import bergamotwall.decisions.ownerOf
 import bergamotwall.model.NodeId
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
--- a/decisions/src/test/kotlin/bergamotwall/decisions/AgreementTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/membership/AgreementTest.kt
@@ -1,5 +1,7 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
+import bergamotwall.decisions.batches.decideReceipt
+import bergamotwall.decisions.duties.LeaseHolding
 import bergamotwall.model.Configuration
 import bergamotwall.model.ConfigurationRevision
 import bergamotwall.model.Drain
--- a/decisions/src/test/kotlin/bergamotwall/decisions/NewsPauseTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/membership/NewsPauseTest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RolloutReplicas.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/membership/RolloutReplicas.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
+import bergamotwall.decisions.weights.RolloutReplica
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
 
--- a/decisions/src/test/kotlin/bergamotwall/decisions/WatchedKeysTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/membership/WatchedKeysTest.kt
@@ -1,4 +1,4 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.membership
 
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
--- a/decisions/src/test/kotlin/bergamotwall/decisions/DispatcherTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/placement/DispatcherTest.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.crashes.CrashSuspicion
 import bergamotwall.model.NodeId
 import bergamotwall.model.PriorityClass
 import bergamotwall.model.ProblemKind
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RoutingTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/placement/RoutingTest.kt
@@ -1,5 +1,7 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.placement
 
+import bergamotwall.decisions.membership.entryAddresses
+import bergamotwall.decisions.ownerOf
 import bergamotwall.model.DataCentre
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
--- a/decisions/src/test/kotlin/bergamotwall/decisions/SentRequestsTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/responses/SentRequestsTest.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.responses
 
+import bergamotwall.decisions.ownerOf
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
--- a/decisions/src/test/kotlin/bergamotwall/decisions/RolloutPolicyTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/weights/RolloutPolicyTest.kt
@@ -1,5 +1,6 @@
-package bergamotwall.decisions
+package bergamotwall.decisions.weights
 
+import bergamotwall.decisions.membership.replicas
 import bergamotwall.model.WeightVersion
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchCoordinator.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchCoordinator.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.TailEstimator
+import bergamotwall.decisions.admission.TailEstimator
 import bergamotwall.model.Batch
 import bergamotwall.model.BatchOrder
 import bergamotwall.model.Member
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchGeneration.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.DeliverySelection
+import bergamotwall.decisions.batches.DeliverySelection
 import bergamotwall.model.BatchOrder
 import bergamotwall.model.CallerName
 import bergamotwall.model.GroupSpec
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchJob.kt
@@ -1,10 +1,10 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.BatchStep
-import bergamotwall.decisions.DeliverySelection
-import bergamotwall.decisions.decideBatch
+import bergamotwall.decisions.batches.BatchStep
+import bergamotwall.decisions.batches.DeliverySelection
+import bergamotwall.decisions.batches.decideBatch
+import bergamotwall.decisions.batches.isFresh
 import bergamotwall.decisions.hashOf
-import bergamotwall.decisions.isFresh
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.model.Batch
 import bergamotwall.model.BatchOrder
--- a/entry/src/main/kotlin/bergamotwall/entry/BatchSamples.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/BatchSamples.kt
@@ -1,8 +1,8 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.DeliverySelection
-import bergamotwall.decisions.decideDelivery
-import bergamotwall.decisions.isFresh
+import bergamotwall.decisions.batches.DeliverySelection
+import bergamotwall.decisions.batches.decideDelivery
+import bergamotwall.decisions.batches.isFresh
 import bergamotwall.model.BatchOrder
 import bergamotwall.model.ManifestEntry
 import bergamotwall.model.Sample
--- a/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/CompletionApi.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.TailEstimator
+import bergamotwall.decisions.admission.TailEstimator
 import bergamotwall.drivers.EngineChunk
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Jsons
--- a/entry/src/main/kotlin/bergamotwall/entry/DispatchCoordinator.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/DispatchCoordinator.kt
@@ -1,7 +1,7 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.DispatchEvent
-import bergamotwall.decisions.DispatchTarget
+import bergamotwall.decisions.placement.DispatchEvent
+import bergamotwall.decisions.placement.DispatchTarget
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.Done
 import bergamotwall.model.MemberState
--- a/entry/src/main/kotlin/bergamotwall/entry/DispatchShard.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/DispatchShard.kt
@@ -1,10 +1,10 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.DispatchDecision
-import bergamotwall.decisions.DispatchEvent
-import bergamotwall.decisions.DispatchLimits
-import bergamotwall.decisions.DispatchLoad
-import bergamotwall.decisions.Dispatcher
+import bergamotwall.decisions.placement.DispatchDecision
+import bergamotwall.decisions.placement.DispatchEvent
+import bergamotwall.decisions.placement.DispatchLimits
+import bergamotwall.decisions.placement.DispatchLoad
+import bergamotwall.decisions.placement.Dispatcher
 import bergamotwall.model.CrashRecord
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.PeerMessage
--- a/entry/src/main/kotlin/bergamotwall/entry/EntriesApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/EntriesApi.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.entryAddresses
+import bergamotwall.decisions.membership.entryAddresses
 import bergamotwall.model.DataCentre
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Node
--- a/entry/src/main/kotlin/bergamotwall/entry/FleetView.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/FleetView.kt
@@ -1,11 +1,11 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.DispatchTarget
 import bergamotwall.decisions.ownerOf
-import bergamotwall.decisions.shardCount
-import bergamotwall.decisions.shardName
-import bergamotwall.decisions.shardOfPrefix
-import bergamotwall.decisions.shardOfTarget
+import bergamotwall.decisions.placement.DispatchTarget
+import bergamotwall.decisions.placement.shardCount
+import bergamotwall.decisions.placement.shardName
+import bergamotwall.decisions.placement.shardOfPrefix
+import bergamotwall.decisions.placement.shardOfTarget
 import bergamotwall.model.Configuration
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
--- a/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GenerationRunner.kt
@@ -1,8 +1,8 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.FailedAttempt
-import bergamotwall.decisions.RetryDecision
-import bergamotwall.decisions.decideRetry
+import bergamotwall.decisions.admission.FailedAttempt
+import bergamotwall.decisions.admission.RetryDecision
+import bergamotwall.decisions.admission.decideRetry
 import bergamotwall.decisions.fingerprintOf
 import bergamotwall.decisions.prefixOf
 import bergamotwall.drivers.EngineChunk
--- a/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/GroupRunner.kt
@@ -1,8 +1,8 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.GroupStep
-import bergamotwall.decisions.GroupTracker
-import bergamotwall.decisions.TailEstimator
+import bergamotwall.decisions.admission.TailEstimator
+import bergamotwall.decisions.batches.GroupStep
+import bergamotwall.decisions.batches.GroupTracker
 import bergamotwall.drivers.EngineChunk
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Problem
--- a/entry/src/main/kotlin/bergamotwall/entry/Receipts.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/Receipts.kt
@@ -1,7 +1,7 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.ReceiptDecision
-import bergamotwall.decisions.decideReceipt
+import bergamotwall.decisions.batches.ReceiptDecision
+import bergamotwall.decisions.batches.decideReceipt
 import bergamotwall.decisions.hashOf
 import bergamotwall.model.CompleteReceipt
 import bergamotwall.model.Fingerprint
--- a/entry/src/main/kotlin/bergamotwall/entry/ReportPoller.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ReportPoller.kt
@@ -1,7 +1,7 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.DispatchEvent
-import bergamotwall.decisions.DispatchTarget
+import bergamotwall.decisions.placement.DispatchEvent
+import bergamotwall.decisions.placement.DispatchTarget
 import bergamotwall.drivers.EngineDriver
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
--- a/entry/src/main/kotlin/bergamotwall/entry/RetryBudgets.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/RetryBudgets.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.RetryBudget
+import bergamotwall.decisions.admission.RetryBudget
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
 
--- a/entry/src/main/kotlin/bergamotwall/entry/SampleScorer.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/SampleScorer.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.backoffMillis
+import bergamotwall.decisions.admission.backoffMillis
 import bergamotwall.decisions.fingerprintOf
 import bergamotwall.drivers.ServiceRequest
 import bergamotwall.drivers.ServiceResponse
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceApi.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceApi.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.ReceiptDecision
+import bergamotwall.decisions.batches.ReceiptDecision
 import bergamotwall.drivers.ServiceResponse
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
--- a/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ServiceRunner.kt
@@ -1,8 +1,8 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.FailedAttempt
-import bergamotwall.decisions.RetryDecision
-import bergamotwall.decisions.decideRetry
+import bergamotwall.decisions.admission.FailedAttempt
+import bergamotwall.decisions.admission.RetryDecision
+import bergamotwall.decisions.admission.decideRetry
 import bergamotwall.drivers.ServiceDriver
 import bergamotwall.drivers.ServiceResponse
 import bergamotwall.drivers.TargetError
--- a/entry/src/main/kotlin/bergamotwall/entry/ShardedPermitSource.kt
+++ b/entry/src/main/kotlin/bergamotwall/entry/ShardedPermitSource.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.backoffMillis
+import bergamotwall.decisions.admission.backoffMillis
 import bergamotwall.model.DispatchRequest
 import bergamotwall.model.Member
 import bergamotwall.model.PeerMessage
--- a/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/BatchJobTest.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.TailEstimator
+import bergamotwall.decisions.admission.TailEstimator
 import bergamotwall.drivers.ServiceResponse
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.Write
--- a/entry/src/test/kotlin/bergamotwall/entry/GroupRunnerTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/GroupRunnerTest.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.TailEstimator
+import bergamotwall.decisions.admission.TailEstimator
 import bergamotwall.model.GroupSpec
 import bergamotwall.model.Problem
 import bergamotwall.standins.fakes.ManualClock
--- a/entry/src/test/kotlin/bergamotwall/entry/ReceiptsTest.kt
+++ b/entry/src/test/kotlin/bergamotwall/entry/ReceiptsTest.kt
@@ -1,6 +1,6 @@
 package bergamotwall.entry
 
-import bergamotwall.decisions.ReceiptDecision
+import bergamotwall.decisions.batches.ReceiptDecision
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway
 
-import bergamotwall.decisions.CrashLimits
+import bergamotwall.decisions.crashes.CrashLimits
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
 import bergamotwall.gateway.relays.RelaySettings
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Leave.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Leave.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway
 
-import bergamotwall.decisions.LeaveAdmission
+import bergamotwall.decisions.admission.LeaveAdmission
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.read
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway
 
-import bergamotwall.decisions.newsPauseMillis
+import bergamotwall.decisions.membership.newsPauseMillis
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -1,9 +1,9 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.ItemAssignment
-import bergamotwall.decisions.WaitingItem
-import bergamotwall.decisions.assignItems
-import bergamotwall.decisions.backoffMillis
+import bergamotwall.decisions.admission.backoffMillis
+import bergamotwall.decisions.batches.ItemAssignment
+import bergamotwall.decisions.batches.WaitingItem
+import bergamotwall.decisions.batches.assignItems
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.OwnershipPolicy
+import bergamotwall.decisions.batches.OwnershipPolicy
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.read
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.OwnershipPolicy
+import bergamotwall.decisions.batches.OwnershipPolicy
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.rewards.RewardDispatcher
 import bergamotwall.gateway.routes.RouteTable
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RetrySchedule.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RetrySchedule.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.backoffMillis
+import bergamotwall.decisions.admission.backoffMillis
 import bergamotwall.runtime.Clock
 import kotlinx.coroutines.delay
 import kotlin.random.Random
--- a/gateway/src/main/kotlin/bergamotwall/gateway/crashes/SharedCrashGuard.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/crashes/SharedCrashGuard.kt
@@ -1,8 +1,8 @@
 package bergamotwall.gateway.crashes
 
-import bergamotwall.decisions.CrashLimits
-import bergamotwall.decisions.CrashQuarantine
-import bergamotwall.decisions.InterruptionKey
+import bergamotwall.decisions.crashes.CrashLimits
+import bergamotwall.decisions.crashes.CrashQuarantine
+import bergamotwall.decisions.crashes.InterruptionKey
 import bergamotwall.decisions.ownerOf
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.Transaction
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.forwarding
 
-import bergamotwall.decisions.chooseTarget
+import bergamotwall.decisions.placement.chooseTarget
 import bergamotwall.gateway.concurrent.PendingResults
 import bergamotwall.gateway.crashes.CrashGuard
 import bergamotwall.gateway.routes.Route
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
@@ -1,7 +1,7 @@
 package bergamotwall.gateway.http
 
-import bergamotwall.decisions.ResponseOwner
-import bergamotwall.decisions.SentRequests
+import bergamotwall.decisions.responses.ResponseOwner
+import bergamotwall.decisions.responses.SentRequests
 import io.netty.buffer.ByteBufUtil
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.http
 
-import bergamotwall.decisions.SentRequests
+import bergamotwall.decisions.responses.SentRequests
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/AssignedOwner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/AssignedOwner.kt
@@ -1,7 +1,7 @@
 package bergamotwall.gateway.members
 
-import bergamotwall.decisions.OwnerCandidate
-import bergamotwall.decisions.assignOwners
+import bergamotwall.decisions.batches.OwnerCandidate
+import bergamotwall.decisions.batches.assignOwners
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.routes.RouteTable
--- a/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
@@ -1,9 +1,9 @@
 package bergamotwall.gateway.rewards
 
-import bergamotwall.decisions.RewardPool
-import bergamotwall.decisions.WaitingReward
-import bergamotwall.decisions.backoffMillis
-import bergamotwall.decisions.selectRewardCalls
+import bergamotwall.decisions.admission.backoffMillis
+import bergamotwall.decisions.batches.RewardPool
+import bergamotwall.decisions.batches.WaitingReward
+import bergamotwall.decisions.batches.selectRewardCalls
 import bergamotwall.gateway.batches.ItemPhase
 import bergamotwall.gateway.batches.ItemState
 import bergamotwall.gateway.batches.OwnedBatch
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.store
 
-import bergamotwall.decisions.InterruptionKey
+import bergamotwall.decisions.crashes.InterruptionKey
 import bergamotwall.model.BatchId
 import bergamotwall.model.Fingerprint
 import bergamotwall.model.NodeId
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.store
 
-import bergamotwall.decisions.WatchedKeys
+import bergamotwall.decisions.membership.WatchedKeys
 import bergamotwall.drivers.ChangeFeed
 import bergamotwall.drivers.KeyValueChange
 import bergamotwall.drivers.KeyValueEntry
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.streams
 
-import bergamotwall.decisions.VersionHistory
+import bergamotwall.decisions.placement.VersionHistory
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.Transaction
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
@@ -1,9 +1,9 @@
 package bergamotwall.gateway.targets
 
-import bergamotwall.decisions.LimitSenders
-import bergamotwall.decisions.RateShare
-import bergamotwall.decisions.guestShareOf
-import bergamotwall.decisions.rateShareOf
+import bergamotwall.decisions.admission.LimitSenders
+import bergamotwall.decisions.admission.RateShare
+import bergamotwall.decisions.admission.guestShareOf
+import bergamotwall.decisions.admission.rateShareOf
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.members.assignedOwnerOf
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.targets
 
-import bergamotwall.decisions.CandidateTarget
+import bergamotwall.decisions.placement.CandidateTarget
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.http.TargetClient
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimit.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimit.kt
@@ -1,7 +1,7 @@
 package bergamotwall.gateway.targets
 
-import bergamotwall.decisions.RateShare
-import bergamotwall.decisions.RequestLimit
+import bergamotwall.decisions.admission.RateShare
+import bergamotwall.decisions.admission.RequestLimit
 import java.util.concurrent.atomic.AtomicReference
 
 /**
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimits.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimits.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.targets
 
-import bergamotwall.decisions.RateShare
+import bergamotwall.decisions.admission.RateShare
 import bergamotwall.gateway.GatewayState
 import bergamotwall.model.NodeId
 import bergamotwall.model.TargetId
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetList.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.targets
 
-import bergamotwall.decisions.DepartureTable
+import bergamotwall.decisions.membership.DepartureTable
 import bergamotwall.model.ServiceName
 import bergamotwall.model.TargetId
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.targets
 
-import bergamotwall.decisions.CandidateTarget
+import bergamotwall.decisions.placement.CandidateTarget
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightLoads.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightLoads.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.weights
 
-import bergamotwall.decisions.LoadConcurrency
+import bergamotwall.decisions.weights.LoadConcurrency
 import bergamotwall.gateway.targets.Target
 import bergamotwall.model.ModelName
 import bergamotwall.model.TargetId
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -1,8 +1,8 @@
 package bergamotwall.gateway.weights
 
-import bergamotwall.decisions.EngineVersion
-import bergamotwall.decisions.ModelRolloutState
-import bergamotwall.decisions.planLoads
+import bergamotwall.decisions.weights.EngineVersion
+import bergamotwall.decisions.weights.ModelRolloutState
+import bergamotwall.decisions.weights.planLoads
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.targets.Target
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.OwnershipPolicy
+import bergamotwall.decisions.batches.OwnershipPolicy
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.read
--- a/runtime/src/main/kotlin/bergamotwall/runtime/DocumentReplicator.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/DocumentReplicator.kt
@@ -1,6 +1,6 @@
 package bergamotwall.runtime
 
-import bergamotwall.decisions.adopt
+import bergamotwall.decisions.membership.adopt
 import bergamotwall.model.Configuration
 import bergamotwall.model.Documents
 import bergamotwall.model.PublishedVersion
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Gossiper.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Gossiper.kt
@@ -1,6 +1,6 @@
 package bergamotwall.runtime
 
-import bergamotwall.decisions.Membership
+import bergamotwall.decisions.membership.Membership
 import bergamotwall.model.Gossip
 import bergamotwall.model.Member
 import bergamotwall.model.MemberState
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
@@ -1,6 +1,6 @@
 package bergamotwall.runtime
 
-import bergamotwall.decisions.LeaseHolding
+import bergamotwall.decisions.duties.LeaseHolding
 import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
--- a/runtime/src/main/kotlin/bergamotwall/runtime/MembershipLoop.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/MembershipLoop.kt
@@ -1,8 +1,8 @@
 package bergamotwall.runtime
 
-import bergamotwall.decisions.Membership
-import bergamotwall.decisions.MembershipAction
-import bergamotwall.decisions.MembershipTiming
+import bergamotwall.decisions.membership.Membership
+import bergamotwall.decisions.membership.MembershipAction
+import bergamotwall.decisions.membership.MembershipTiming
 import bergamotwall.model.Documents
 import bergamotwall.model.Gossip
 import bergamotwall.model.IndirectProbe
