Fail a body that another response on its connection completes

A target that cut off a body and sent another response on the same connection filled the body with it, so that it looked complete to the caller, the item and the reward call. Cause: the end of a body was judged by its length or chunks alone. JoinedResponses finds a head in the body that names a request of the connection, and a body that ends inside of a head.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/responses/SentRequests.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/responses/SentRequests.kt
@@ -23,6 +23,9 @@
     /** Whether the response to a request with [id] could be told from those to the requests before. */
     public fun mayAdd(id: String?): Boolean = if (id == null) count == 0 else !exhausted && hashOf(id) !in hashes
 
+    /** Whether a request with [id] was sent. */
+    public fun contains(id: String): Boolean = hashOf(id) in hashes
+
     /** Records that a request with [id] is sent. */
     public fun add(id: String?) {
         if (id != null) hashes += hashOf(id)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
@@ -17,6 +17,9 @@
     /** The head of the response contains the beginning of another one. */
     JOINED_HEADS,
 
+    /** The body of the response contains the beginning of another one. */
+    JOINED_BODY,
+
     /** Bytes were received after a complete response, while no request was waiting. */
     LEFTOVER_BYTES,
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.decisions.responses.JoinedResponses
 import bergamotwall.decisions.responses.ResponseOwner
 import bergamotwall.decisions.responses.SentRequests
 import io.netty.buffer.ByteBufUtil
@@ -11,14 +12,19 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 
-/** Reads the responses on one connection, and derives from them whether and how long the connection can be reused. */
+/**
+ * Reads the responses on one connection, and derives from them whether and how long the connection can be reused.
+ * [following] returns the bytes received right after the response that has ended last.
+ */
 internal class ResponseReader(
     private val address: String,
     private val limits: TargetClientLimits,
     private val sent: SentRequests,
     private val doubts: ResponseDoubts,
+    private val following: () -> ByteArray,
 ) {
     private var skipping = false
+    private var joined: JoinedResponses? = null
 
     /** Whether the connection can be used for another exchange. */
     var keepAlive = true
@@ -37,13 +43,28 @@
         message: HttpObject,
     ): ReadProgress {
         if (message is HttpResponse && !readHead(exchange, message)) return ReadProgress.IN_DOUBT
-        if (message is HttpContent && !skipping) exchange.body(ByteBufUtil.getBytes(message.content()))
+        if (message is HttpContent && !skipping && !readBody(exchange, message)) return ReadProgress.IN_DOUBT
         val last = message is LastHttpContent
         val complete = last && !skipping
         if (last) skipping = false
         return if (complete) ReadProgress.COMPLETE else ReadProgress.INCOMPLETE
     }
 
+    /** Returns whether the body is known to be that of one response. Its bytes are passed on only then. */
+    private fun readBody(
+        exchange: NettyExchange,
+        message: HttpContent,
+    ): Boolean {
+        val request = exchange.request
+        val responses = joined ?: JoinedResponses(request.identity?.name, sent::contains).also { joined = it }
+        val bytes = ByteBufUtil.getBytes(message.content())
+        val last = message is LastHttpContent
+        val doubtful = responses.add(bytes) || last && responses.endsInside(following())
+        if (last) joined = null
+        if (doubtful) record(ResponseDoubt.JOINED_BODY, request) else exchange.body(bytes)
+        return !doubtful
+    }
+
     /** Returns whether [response] is known to belong to one request, that of [exchange] or another one. */
     private fun readHead(
         exchange: NettyExchange,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -36,8 +36,8 @@
     /** The requests that the connection has carried. */
     val sent = SentRequests(MAX_REQUESTS)
 
-    private val reader = ResponseReader(address, limits, sent, doubts)
     private val decoder = channel.pipeline().get(TargetResponseDecoder::class.java)
+    private val reader = ResponseReader(address, limits, sent, doubts) { decoder.following }
     private var failure: String? = null
 
     init {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.http
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
@@ -16,6 +17,10 @@
     var insideResponse = false
         private set
 
+    /** The bytes that were received right after the response that has ended last, [MAX_FOLLOWING_BYTES] at most. */
+    var following = ByteArray(0)
+        private set
+
     override fun decode(
         context: ChannelHandlerContext,
         bytes: ByteBuf,
@@ -24,6 +29,10 @@
         // Empty lines before a response belong to none (RFC 9112, section 2.2).
         val begins = bytes.forEachByte { it == CARRIAGE_RETURN || it == NEWLINE } >= 0
         super.decode(context, bytes, messages)
+        if (messages.lastOrNull() is LastHttpContent) {
+            val length = minOf(bytes.readableBytes(), MAX_FOLLOWING_BYTES)
+            following = ByteBufUtil.getBytes(bytes, bytes.readerIndex(), length)
+        }
         insideResponse = messages.lastOrNull() !is LastHttpContent && (insideResponse || begins)
     }
 
@@ -35,6 +44,9 @@
         private const val MAX_LINE_BYTES = 8_192
         private const val MAX_HEADER_BYTES = 65_536
         private const val MAX_CHUNK_BYTES = 65_536
+
+        /** More than a status line has. */
+        private const val MAX_FOLLOWING_BYTES = 256
         private val CONFIG =
             HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
