Let only callers with a key of a workspace run requests

The configuration may contain workspaces with keys (tenants on the wire). Requests then need a known key unless their route is public; targets get the workspace's name and no key, on every path. Batches belong to the workspace that submitted them. With workspaces.revokeMillis, a key is accepted only while the configuration was known to be the newest recently; the proof is read before the configuration, counts only once the configuration is in force, and a response with changes proves nothing about the time since its request.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemAssignment.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemAssignment.kt
@@ -8,7 +8,8 @@
  *
  * [dueAtMillis] is the time at which its batch is due. [groupOrder] is the position of its group in the batch, in which
  * carried-over groups come first. [eligible] are the targets whose weights its batch allows. [avoid] is the target that
- * failed the item last, [groupTarget] the one where other items of its group ran.
+ * failed the item last, [groupTarget] the one where other items of its group ran. [priority] orders items of batches
+ * that are due at the same time.
  */
 public data class WaitingItem(
     val ticket: Int,
@@ -18,6 +19,7 @@
     val eligible: Set<TargetId>,
     val avoid: TargetId? = null,
     val groupTarget: TargetId? = null,
+    val priority: ItemPriority = ItemPriority.NONE,
 )
 
 /** Assigns the item with [ticket] to [target]. */
@@ -27,7 +29,7 @@
  * Assigns waiting items to free slots.
  *
  * Made for more items than slots, and for training steps that benefit from complete groups only: batches that are due
- * earlier go first, within a batch the groups in order, and within a group the item with the most expected tokens, as
+ * earlier go first, among those due at the same time the ones of higher priority, within a batch the groups in order, and within a group the item with the most expected tokens, as
  * its end decides when the group is complete. An item goes to the target that has its group's prompt cached if a slot
  * is free there, otherwise to the target with the smallest share of its slots in use.
  */
@@ -58,5 +60,6 @@
 
 private val ITEM_ORDER =
     compareBy<WaitingItem> { it.dueAtMillis }
+        .thenBy { it.priority }
         .thenBy { it.groupOrder }
         .thenByDescending { it.expectedTokens }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -28,6 +28,8 @@
 import bergamotwall.gateway.targets.TargetLoads
 import bergamotwall.gateway.weights.WeightRollout
 import bergamotwall.gateway.weights.WeightRolloutDependencies
+import bergamotwall.gateway.workspaces.CallerKeys
+import bergamotwall.gateway.workspaces.KeyRefusals
 import bergamotwall.model.Alive
 import bergamotwall.model.BatchId
 import bergamotwall.model.CheckAlive
@@ -108,6 +110,17 @@
     public val configurationCurrent: Boolean
         get() = configurationAgeMillis()?.let { it <= settings.follow.configurationStaleMillis } ?: false
 
+    /** Checks the keys of callers' requests. */
+    public val callerKeys: CallerKeys =
+        CallerKeys(
+            gatewayState.routes::read,
+            { watches.appliedConfigurationConfirmation },
+            { configurationCurrent },
+            drivers.clock,
+            settings.workspaces,
+            KeyRefusals(journal, metrics),
+        )
+
     private val relayedRequests = metrics.counter("relayed_requests", "Requests to targets sent through a peer.")
     private val targetClient =
         RelayedTargetClient(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -6,6 +6,7 @@
 import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.weights.WeightSettings
+import bergamotwall.gateway.workspaces.WorkspaceSettings
 import bergamotwall.model.DataCentre
 import bergamotwall.model.DocumentProblem
 import bergamotwall.model.LOG_LEVELS
@@ -54,6 +55,7 @@
     val streams: StreamSettings = StreamSettings(),
     val relays: RelaySettings = RelaySettings(),
     val weights: WeightSettings = WeightSettings(),
+    val workspaces: WorkspaceSettings = WorkspaceSettings(),
 ) {
     /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
     internal val settleMillis: Long get() = leaveMillis * SETTLE_PERCENT / PERCENT
@@ -149,6 +151,8 @@
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
+    val revokeMillis = settings.workspaces.revokeMillis
+    check(revokeMillis == null || revokeMillis >= 1, "workspaces.revokeMillis", "is not positive", "use 5000")
     return problems
 }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -52,7 +52,7 @@
             drivers.documents.operatorPrefix,
             { watchSettings.configurationPauseMillis },
             0,
-            watchSettings.configurationWaitMillis,
+            settings.workspaces.waitMillis(watchSettings.configurationWaitMillis),
         ) { onOperatorDocumentsChanged(it) }
     private val targetWatcher =
         watcher(drivers.documents.targetPrefix, ::targetPauseMillis, watchSettings.graceMillis) {
@@ -71,6 +71,9 @@
     /** The latest proof that the configuration in force is the newest; null before the first listing. */
     val configurationConfirmation: WatchConfirmation? get() = operatorWatcher.confirmation
 
+    /** As [configurationConfirmation], but recorded once the configuration is in force. */
+    val appliedConfigurationConfirmation: WatchConfirmation? get() = operatorWatcher.appliedConfirmation
+
     /** When the list of targets was last known to be current; null before the first listing. */
     val targetsConfirmedAtMillis: Long? get() = targetsConfirmation?.atMillis
 
@@ -111,7 +114,16 @@
         onChange: (Map<String, KeyValueEntry>) -> Unit,
     ): PrefixWatcher {
         val retryMillis = watchSettings.retryMillis
-        val timing = WatchTiming(waitMillis, pauseMillis, graceMillis, { outages.endedAtMillis }, retryMillis)
+        val timing =
+            WatchTiming(
+                waitMillis,
+                pauseMillis,
+                graceMillis,
+                { outages.endedAtMillis },
+                retryMillis,
+                provesChangesAtOnce =
+                settings.workspaces.revokeMillis != null && prefix == drivers.documents.operatorPrefix,
+            )
         return PrefixWatcher(prefix, drivers.store, drivers.feed, drivers.clock, timing, onChange)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchOutcomes.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchOutcomes.kt
@@ -7,6 +7,9 @@
     /** The batch is stored durably, by this submission or an earlier one. */
     public data object Accepted : SubmitOutcome
 
+    /** There is a batch with this id, which another workspace has submitted. */
+    public data object Foreign : SubmitOutcome
+
     /** This submission runs no item of the batch, now or later; the caller may retry after [retryAfterMillis]. */
     public data class Refused(val reason: String, val retryAfterMillis: Long) : SubmitOutcome
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.gateway.forwarding.RequestForwarder
 import bergamotwall.gateway.members.GatewayMember
@@ -8,6 +9,7 @@
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchId
+import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchPage
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.Done
@@ -18,6 +20,8 @@
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.ReadBatch
 import bergamotwall.peers.PeerClient
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withContext
@@ -80,6 +84,12 @@
     ): SubmitOutcome =
         withContext(loop) { submissionRouter.submit(record, route) }
 
+    /** Ownership of [batch], whose owner may have changed since; null if the batch does not exist. */
+    public suspend fun ownership(batch: BatchId): Result<BatchOwnership?, KeyValueError> =
+        withContext(loop) {
+            ownedBatches.find(batch)?.let { Ok(it.known.record.ownership) } ?: remoteBatches.ownership(batch)
+        }
+
     /** Reads the results of [batch] from position [after] on, waiting up to [waitMillis] for the first one. */
     public suspend fun read(
         batch: BatchId,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -2,11 +2,13 @@
 
 import bergamotwall.decisions.admission.backoffMillis
 import bergamotwall.decisions.batches.ItemAssignment
+import bergamotwall.decisions.batches.ItemPriority
 import bergamotwall.decisions.batches.WaitingItem
 import bergamotwall.decisions.batches.assignItems
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
+import bergamotwall.gateway.workspaces.Workspaces
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.launchSupervised
@@ -65,7 +67,8 @@
         val candidates = dependencies.candidates(usable.values, SendPurpose.ITEM)
         val available = candidates.filter { it.available }.mapNotNull { usable[it.id] }
         items.forEach { it.startOverUnlessContinuable(usable.values, available, nowMillis) }
-        val waiting = items.mapIndexed { ticket, item -> item.waitingItem(ticket, usable.values) }
+        val workspaces = dependencies.gatewayState.routes.read().workspaces
+        val waiting = items.mapIndexed { ticket, item -> item.waitingItem(ticket, usable.values, workspaces) }
         waiting.forEach { items[it.ticket].batch.placement.eligibleTargets = it.eligible.size }
         items.forEach { it.batch.placement.usableTargets = usable.size }
         assignItems(waiting, candidates).forEach { assignment -> launch(items[assignment.ticket], assignment, usable) }
@@ -175,6 +178,7 @@
         fun waitingItem(
             ticket: Int,
             targets: Collection<Target>,
+            workspaces: Workspaces,
         ): WaitingItem {
             val group = item.spec.group
             return WaitingItem(
@@ -185,6 +189,12 @@
                 eligible = targets.filter { allows(it) }.mapTo(HashSet()) { it.id },
                 avoid = item.lastFailedTarget,
                 groupTarget = batch.groupTargets[group],
+                priority =
+                if (workspaces.active) {
+                    ItemPriority(workspaces.priorityOf(batch.record.workspace), batch.route.priority)
+                } else {
+                    ItemPriority.NONE
+                },
             )
         }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -57,6 +57,7 @@
         item: ItemState,
     ): TargetCall {
         val headers = item.spec.headers.map { Header(it.name, it.value) } + Header("Host", record.host)
+        val workspaces = dependencies.gatewayState.routes.read().workspaces
         val body = Base64.getDecoder().decode(item.spec.bodyBase64)
         return TargetCall(
             requestId = item.spec.id.value,
@@ -68,6 +69,8 @@
             resumeAfter = item.lastEventId,
             repeatable = true,
             maxSilenceMillis = idleTimeoutMillis,
+            workspace = record.workspace,
+            removesKey = record.workspace != null || workspaces.active,
         )
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -43,7 +43,7 @@
         route: Route,
     ): SubmitOutcome {
         val ready = dependencies.self().ready
-        if (ownedBatches.find(record.id) != null) return SubmitOutcome.Accepted
+        ownedBatches.find(record.id)?.let { return outcomeOfExisting(record, it.known.record.ownership) }
         return if (ready) {
             createAndRecord(record, route)
         } else {
@@ -65,7 +65,7 @@
                 inputs = "route ${route.name}, ${record.items.size} items, versions from ${record.minVersion.value}",
             ),
         )
-        return outcomeOf(record.id, outcome)
+        return outcomeOf(record, outcome)
     }
 
     private suspend fun trackInProgress(
@@ -94,6 +94,7 @@
                 total = record.items.size,
                 acceptedAtMillis = dependencies.shared.clock.wallMillis(),
                 route = route.name,
+                workspace = record.workspace,
             )
         val sentAt = dependencies.shared.clock.read()
         val deadlineMillis = sentAt.monotonicMillis + settings.acceptMillis
@@ -122,15 +123,25 @@
         return outcome
     }
 
+    /** The outcome of submitting [record] again: a batch of another workspace is not reported as accepted. */
+    private fun outcomeOfExisting(
+        record: BatchRecord,
+        existing: BatchOwnership,
+    ): SubmitOutcome {
+        val active = dependencies.shared.gatewayState.routes.read().workspaces.active
+        val foreign = active && existing.workspace != null && existing.workspace != record.workspace
+        return if (foreign) SubmitOutcome.Foreign else SubmitOutcome.Accepted
+    }
+
     private fun outcomeOf(
-        id: BatchId,
+        record: BatchRecord,
         outcome: CreateOutcome,
     ): SubmitOutcome =
         when (outcome) {
             is CreateOutcome.Created -> SubmitOutcome.Accepted
             is CreateOutcome.Existed -> {
-                remoteBatches.rememberOwner(id, outcome.record.ownership)
-                SubmitOutcome.Accepted
+                remoteBatches.rememberOwner(record.id, outcome.record.ownership)
+                outcomeOfExisting(record, outcome.record.ownership)
             }
             is CreateOutcome.NotCreated -> SubmitOutcome.Refused(outcome.detail, RETRY_AFTER_MILLIS)
             is CreateOutcome.Unknown -> SubmitOutcome.Unknown(outcome.detail)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -50,6 +50,11 @@
         return response
     }
 
+    /** Ownership of [batch] as last known, null if the batch does not exist. */
+    suspend fun ownership(batch: BatchId): Result<BatchOwnership?, KeyValueError> =
+        owners[batch]?.let { Ok(it) }
+            ?: store.ownership(batch).map { stored -> stored?.ownership?.also { owners[batch] = it } }
+
     private suspend fun lookUpOwner(batch: BatchId): BatchOwnership? =
         store.ownership(batch).get()?.ownership?.also { owners[batch] = it }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
@@ -53,7 +53,8 @@
         if (route == null || busy || !dependencies.self().ready) return NotOwner
         return when (val outcome = localSubmissions.submit(record, route)) {
             is SubmitOutcome.Accepted -> Done
-            is SubmitOutcome.Refused -> NotOwner
+            // The sender finds the batch of the other workspace by itself.
+            is SubmitOutcome.Refused, SubmitOutcome.Foreign -> NotOwner
             is SubmitOutcome.Unknown -> PeerRefusal(Problem(ProblemKind.UNAVAILABLE, outcome.reason))
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -31,6 +31,7 @@
     ): AttemptOutcome {
         val stream = route.kind == RouteKind.STREAM
         val repeatable = route.retryable || stream && route.resumable
+        request.keyCheck.refusal()?.let { return AttemptOutcome.NotRun(it) }
         val load = dependencies.loads.of(target.id)
         val sentAtMillis = dependencies.clock.monotonicMillis()
         load.sent(sentAtMillis)
@@ -45,6 +46,8 @@
                 deadlineMillis = remainingMillis,
                 resumeAfter = request.resume?.lastEventId,
                 repeatable = repeatable,
+                workspace = request.workspace,
+                removesKey = request.removesKey,
             )
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
--- a/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardCaller.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardCaller.kt
@@ -9,6 +9,7 @@
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.RewardCall
+import bergamotwall.model.WorkspaceName
 import java.util.Base64
 
 /** Sends reward calls as callers' requests are sent, through [forwarder]. */
@@ -16,9 +17,10 @@
     private val forwarder: RequestForwarder,
     private val dependencies: TargetDependencies,
 ) {
-    /** Sends [call] over [route]; the target may work on it for up to [timeoutMillis]. */
+    /** Sends [call] of a batch of [workspace] over [route]; the target may work on it for up to [timeoutMillis]. */
     suspend fun send(
         call: RewardCall,
+        workspace: WorkspaceName?,
         route: Route,
         timeoutMillis: Long,
     ): RewardOutcome {
@@ -33,6 +35,7 @@
                 arrivedAtMillis = nowMillis,
                 deadlineAtMillis = nowMillis + timeoutMillis,
                 purpose = SendPurpose.REWARD,
+                workspace = workspace,
             )
         // Reward calls may be repeated, whatever the route allows its callers.
         return outcomeOf(forwarder.forward(request, route.copy(kind = RouteKind.IDEMPOTENT)))
--- a/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/rewards/RewardDispatcher.kt
@@ -150,7 +150,7 @@
             scope.launch(start = CoroutineStart.LAZY) {
                 val outcome =
                     recovering("reward call", { RewardOutcome.Failed("unexpected: $it", 0) }) {
-                        caller.send(pending.reward.call, route, timeoutMillis)
+                        caller.send(pending.reward.call, pending.batch.record.workspace, route, timeoutMillis)
                     }
                 pending.reward.job = null
                 handleOutcome(pending, route, outcome, dependencies.clock.monotonicMillis() - nowMillis)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/routes/Route.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/routes/Route.kt
@@ -6,7 +6,8 @@
  * A route of the configuration. Matches requests to [host] whose path starts with [pathPrefix].
  *
  * [timeoutMillis] is the longest time that a caller waits for a response; [maxAttempts] is the maximum number of
- * targets that one request may be sent to. [batch] is set on routes of kind [RouteKind.BATCH] only.
+ * targets that one request may be sent to. [batch] is set on routes of kind [RouteKind.BATCH] only. [public]: requests
+ * need no key of a workspace.
  */
 public data class Route(
     val name: String,
@@ -20,6 +21,7 @@
     val resumable: Boolean,
     val shares: List<ServiceShare>,
     val batch: BatchTerms? = null,
+    val public: Boolean = false,
 ) {
     /** Whether a request that may already have run can be sent to another target. */
     public val retryable: Boolean get() = kind == RouteKind.IDEMPOTENT
--- a/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
@@ -1,14 +1,19 @@
 package bergamotwall.gateway.routes
 
+import bergamotwall.gateway.workspaces.Workspaces
 import bergamotwall.model.ConfigurationRevision
 import bergamotwall.model.ModelName
 import bergamotwall.model.ServiceName
 
-/** Routes and services of the configuration at [revision]. Revision 0 means that no configuration has been read yet. */
+/**
+ * Routes, services and workspaces of the configuration at [revision]. Revision 0 means that no configuration has been
+ * read yet.
+ */
 public class RouteTable(
     public val revision: ConfigurationRevision = ConfigurationRevision(0),
     public val routes: List<Route> = emptyList(),
     public val services: List<TargetService> = emptyList(),
+    public val workspaces: Workspaces = Workspaces(),
 ) {
     private val byHost = routes.groupBy {
         it.host
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/DocumentDecoding.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/DocumentDecoding.kt
@@ -9,11 +9,13 @@
 
 /**
  * Decodes [entry], which another process may have written, whatever it holds; null, with a line in the log, if it is
- * not a document of [deserializer] or [verify] does not accept the value.
+ * not a document of [deserializer] or [verify] does not accept the value. [confidential]: the line does not quote the
+ * document, only tells the offset of the error.
  */
 public fun <T : Any> decodeDocument(
     deserializer: DeserializationStrategy<T>,
     entry: KeyValueEntry,
+    confidential: Boolean = false,
     verify: (T) -> String? = { null },
 ): T? {
     var problem: String?
@@ -22,10 +24,10 @@
             problem = sizeProblem(entry.value)
             if (problem == null) Jsons.wire.decodeFromString(deserializer, entry.value) else null
         } catch (e: SerializationException) {
-            problem = e.message
+            problem = if (confidential) withoutQuotes(e) else e.message
             null
         } catch (e: IllegalArgumentException) {
-            problem = e.message
+            problem = if (confidential) withoutQuotes(e) else e.message
             null
         }
     if (value != null) problem = verify(value)
@@ -38,6 +40,12 @@
     return null
 }
 
+/** Describes [error] without its message, which may quote the document. */
+private fun withoutQuotes(error: Exception): String =
+    "${error.javaClass.simpleName} ${OFFSET.find(error.message.orEmpty())?.value.orEmpty()}".trim()
+
+private val OFFSET = Regex("at offset \\d+")
+
 private fun sizeProblem(text: String): String? =
     when {
         text.isEmpty() -> "empty, or not UTF-8"
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -42,6 +42,18 @@
     public var confirmation: WatchConfirmation? = null
         private set
 
+    /**
+     * The latest proof that the entries passed to [onChange] are current. Unlike [confirmation], it is recorded once
+     * they have been passed on, and counts a response with changes as of its request, because that response may have
+     * been delayed on its way. Null before the first listing.
+     */
+    @Volatile
+    public var appliedConfirmation: WatchConfirmation? = null
+        private set
+
+    /** Whether the last response proved nothing about the time since its request. */
+    private var proofDue = false
+
     /** Starts to watch in [scope]. */
     public fun start(scope: CoroutineScope): Job =
         scope.launchSupervised("watch $prefix") {
@@ -63,6 +75,7 @@
                 keys.listed(listing.entries.associateBy { it.key }, clock.monotonicMillis())
                 revision = listing.revision
                 onChange(keys.current())
+                applied(sent, 0, listing.relay)
             },
             failure = { onFailure(it) },
         )
@@ -70,7 +83,7 @@
 
     private suspend fun poll(fromRevision: Long) {
         val dueMillis = keys.expiryAtMillis()?.let { it - clock.monotonicMillis() } ?: timing.waitMillis
-        val waitMillis = if (failing) 0 else dueMillis.coerceIn(1, timing.waitMillis)
+        val waitMillis = if (failing || proofDue) 0 else dueMillis.coerceIn(1, timing.waitMillis)
         val sent = clock.read()
         feed.changes(prefix, fromRevision, waitMillis).fold(
             success = { response ->
@@ -92,7 +105,12 @@
                     revision = response.revision
                     response.changes.forEach { apply(it) }
                     onChange(keys.current())
+                    applied(sent, 0, response.relay)
+                    proofDue = timing.provesChangesAtOnce
                     delay(timing.pauseMillis())
+                } else {
+                    applied(sent, provenMillis, response.relay)
+                    proofDue = false
                 }
             },
             failure = { onFailure(it) },
@@ -105,9 +123,27 @@
         afterMillis: Long,
         relay: NodeId?,
     ) {
+        confirmation = confirmationOf(confirmation, sent, afterMillis, relay)
+    }
+
+    /** Records the proof that the entries that were passed on were current [afterMillis] after [sent]. */
+    private fun applied(
+        sent: ClockReading,
+        afterMillis: Long,
+        relay: NodeId?,
+    ) {
+        appliedConfirmation = confirmationOf(appliedConfirmation, sent, afterMillis, relay)
+    }
+
+    private fun confirmationOf(
+        previous: WatchConfirmation?,
+        sent: ClockReading,
+        afterMillis: Long,
+        relay: NodeId?,
+    ): WatchConfirmation {
         val atMillis = sent.monotonicMillis + afterMillis
-        val gapMillis = atMillis - (confirmation?.atMillis ?: atMillis)
-        confirmation = WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
+        val gapMillis = atMillis - (previous?.atMillis ?: atMillis)
+        return WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
     }
 
     private fun apply(change: KeyValueChange) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/WatchTiming.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/WatchTiming.kt
@@ -5,7 +5,8 @@
  * goes unnoticed. [pauseMillis] returns the pause after changes, so that a burst of changes takes few calls.
  * [graceMillis]: how long registrations that expired in an outage are kept after it, so that their owners can renew
  * them. [outageEndMillis] returns when the last outage ended, on the monotonic clock, null if there was none.
- * [retryMillis]: pause after a failed call.
+ * [retryMillis]: pause after a failed call. [provesChangesAtOnce]: the poll after a change does not wait, so that its
+ * response proves soon that no other change followed.
  */
 public data class WatchTiming(
     val waitMillis: Long,
@@ -13,4 +14,5 @@
     val graceMillis: Long,
     val outageEndMillis: () -> Long?,
     val retryMillis: Long,
+    val provesChangesAtOnce: Boolean = false,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -3,6 +3,7 @@
 import bergamotwall.gateway.http.Header
 import bergamotwall.gateway.http.ResponsePart
 import bergamotwall.gateway.http.TargetRequest
+import bergamotwall.model.WorkspaceName
 
 /** Encodes requests to targets and decodes the heads of their responses; implemented per platform. */
 public interface TargetProtocol {
@@ -25,7 +26,8 @@
 /**
  * A request to a target. [deadlineMillis] is the time that it may still take, or null for no limit. [resumeAfter] is
  * the id of the last event received; the response continues after it. [repeatable]: the request may run more than once.
- * The sender gives up if nothing arrives for [maxSilenceMillis].
+ * The sender gives up if nothing arrives for [maxSilenceMillis]. [workspace] is the one for which the request is sent,
+ * null if there is none. [removesKey]: fields of [headers] that may hold a caller's key or name a workspace are left out.
  */
 public data class TargetCall(
     public val requestId: String,
@@ -37,6 +39,8 @@
     public val resumeAfter: Long? = null,
     public val repeatable: Boolean = false,
     public val maxSilenceMillis: Long? = deadlineMillis,
+    public val workspace: WorkspaceName? = null,
+    public val removesKey: Boolean = workspace != null,
 )
 
 /**
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/workspaces/KeyRefusal.kt
@@ -0,0 +1,20 @@
+package bergamotwall.gateway.workspaces
+
+/**
+ * Why a request was refused because of its key; [detail] is for the caller. [retryable]: the key may be accepted
+ * later.
+ */
+public enum class KeyRefusal(public val detail: String, public val retryable: Boolean = false) {
+    MISSING("the header Authorization is missing"),
+    MALFORMED("the header Authorization is not of the form \"Bearer KEY\", or there are several"),
+    UNKNOWN("the key is not known"),
+
+    /** A newer configuration may contain the key. */
+    NOT_KNOWN_YET("the key is not known, but the configuration may be outdated", retryable = true),
+
+    /** A newer configuration may have removed the key. */
+    UNPROVEN("the configuration that contains the key may be outdated", retryable = true),
+
+    /** The batch belongs to another workspace. */
+    FOREIGN_BATCH("no such batch"),
+}
--- a/model/src/main/kotlin/bergamotwall/model/BatchOwnership.kt
+++ b/model/src/main/kotlin/bergamotwall/model/BatchOwnership.kt
@@ -1,13 +1,16 @@
 package bergamotwall.model
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 
 /**
  * Ownership of a batch by the process [owner] in its [incarnation]. Changed by compare-and-swap only; its revision
  * fences the results that the owner appends. [nonce] identifies the submission attempt that created the batch: only the
  * items stored by that attempt are valid; they are stored in [parts] item chunks. [route] determines which process
- * adopts the batch if the owner fails.
+ * adopts the batch if the owner fails. [workspace] submitted the batch; null if it was submitted without a key.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class BatchOwnership(
     val owner: NodeId,
@@ -18,4 +21,5 @@
     val acceptedAtMillis: Long,
     val route: String,
     val ended: Boolean = false,
+    @EncodeDefault(EncodeDefault.Mode.NEVER) val workspace: WorkspaceName? = null,
 )
--- a/model/src/main/kotlin/bergamotwall/model/Ids.kt
+++ b/model/src/main/kotlin/bergamotwall/model/Ids.kt
@@ -37,6 +37,11 @@
 @JvmInline
 public value class CallerName(public val value: String)
 
+/** Name of a workspace, to which callers' keys belong. */
+@Serializable
+@JvmInline
+public value class WorkspaceName(public val value: String)
+
 /** Identity of one request inside the fleet. */
 @Serializable
 @JvmInline
