Hedge requests by percentile and with a budget

Second sends followed after a fixed half of the target latency, many times the usual duration at some services, and nothing bounded their number when many targets were slow. With forward.hedging they follow after the 95th percentile of the service's recent durations, are at most 5 % of its requests, and go only to targets with slots beyond a reserve that are expected to be faster. Without the setting nothing changes; the existing tests of forwarding are unchanged.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -148,6 +148,7 @@
     check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
+    check(settings.forward.hedging?.valid != false, "forward.hedging", "is out of range", "use {} for the defaults")
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return problems
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
@@ -18,4 +18,6 @@
     val retryAfterMillis: Long = 250,
     /** Longest Retry-After where targets are at their request limits: other entries have parts of these limits too. */
     val maxLimitRetryAfterMillis: Long = 1_000,
+    /** Hedging by percentile and with a budget; null for a fixed delay without one. */
+    val hedging: HedgeSettings? = null,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -26,6 +26,7 @@
  * - A request that must not run twice is sent to a second target only if the first states that it did not run it, or
  *   can't have received it.
  * - At most [Route.maxAttempts] targets are tried.
+ * - With [ForwardLimits.hedging], hedges are a bounded share of a service's requests.
  * - A request whose content crashes its targets is refused, as the [CrashGuard] decides.
  * - A resumed stream continues at the software version that began it, as the [StreamOrigins] know it, or is refused.
  * - The caller receives the final outcome by its deadline or the route's timeout, whichever comes first.
@@ -37,6 +38,7 @@
     private val origins: StreamOrigins = StreamOrigins.NONE,
 ) : RequestForwarder {
     private val runner = AttemptRunner(dependencies, limits)
+    private val hedging = limits.hedging?.let { Hedging(it, dependencies) }
 
     init {
         dependencies.metrics.gauge("buffered_response_bytes", "Bytes of responses held until they are complete.") {
@@ -80,7 +82,7 @@
         private val service by lazy(LazyThreadSafetyMode.NONE) { placement.service ?: chooseService(route) }
         private val tried = LinkedHashMap<TargetId, SoftwareVersion?>()
         private val outcomes = PendingResults<AttemptOutcome>()
-        private var lastReason = "no target"
+        private var lastReason = NO_ATTEMPT_ENDED
         private var refusals = 0
         private val startedAtMillis = dependencies.clock.monotonicMillis()
 
@@ -90,6 +92,12 @@
 
         private var failedRuns = 0
 
+        private val hedges by lazy(LazyThreadSafetyMode.NONE) {
+            // Nobody waits for a single reward call, and a wave of them would only be doubled where targets are busy.
+            val hedgeable = request.purpose == SendPurpose.REQUEST && route.retryable
+            hedging?.takeIf { hedgeable }?.request(service, deadlineAtMillis)
+        }
+
         /** Whether a target ran the request, or may be running it now. */
         private val mayHaveRun: Boolean get() = endedAttemptMayHaveRun || outcomes.count > 0
 
@@ -104,6 +112,7 @@
                 val outcome = nextOutcome(scope) ?: continue
                 val forwardOutcome = handleOutcome(outcome, scope)
                 if (forwardOutcome != null) {
+                    hedges?.finished(forwardOutcome, undisturbed = failedRuns == 0 && lastReason == NO_ATTEMPT_ENDED)
                     scope.coroutineContext[Job]?.cancelChildren()
                     return forwardOutcome
                 }
@@ -134,11 +143,33 @@
             // Nobody waits for a single reward call, and a wave of them would only be doubled where targets are busy.
             val hedge = request.purpose == SendPurpose.REQUEST &&
                 route.retryable && tried.size < route.maxAttempts && guarded.mayHedge
-            val waitMillis = if (hedge) route.targetLatencyMillis * limits.hedgePercent / PERCENT else Long.MAX_VALUE
+            val boundMillis = route.targetLatencyMillis * limits.hedgePercent / PERCENT
+            hedges?.takeIf { hedge }?.let { return nextOutcomeOrHedge(scope, it, boundMillis) }
+            val waitMillis = if (hedge) boundMillis else Long.MAX_VALUE
             val outcome = outcomes.next(waitMillis)
             return if (outcome == null && !launchNext(scope)) outcomes.next() else outcome
         }
 
+        /** As [nextOutcome]. A hedge that is withheld is considered again later, at growing intervals. */
+        private suspend fun nextOutcomeOrHedge(
+            scope: CoroutineScope,
+            hedges: RequestHedging,
+            boundMillis: Long,
+        ): AttemptOutcome? {
+            var waitMillis = hedges.delayMillis(boundMillis)
+            var outcome = outcomes.next(waitMillis)
+            while (outcome == null) {
+                val target = if (guarded.mayHedge && guarded.mayRun) hedges.choose(usable(service, placement)) else null
+                if (target != null) {
+                    launch(target, scope)
+                    return null
+                }
+                waitMillis *= 2
+                outcome = outcomes.next(waitMillis)
+            }
+            return outcome
+        }
+
         private suspend fun handleOutcome(
             outcome: AttemptOutcome,
             scope: CoroutineScope,
@@ -196,15 +227,24 @@
             val allowed = tried.size < route.maxAttempts && guarded.mayRun
             val target = if (allowed) selectTarget(service, tried.keys, placement, request.purpose) else null
             if (target == null) return false
+            launch(target, scope)
+            return true
+        }
+
+        private fun launch(
+            target: Target,
+            scope: CoroutineScope,
+        ) {
             tried[target.id] = target.softwareVersion
             dependencies.limits.charge(target, request.purpose, dependencies.clock.monotonicMillis())
+            hedges?.sent(target)
             outcomes.start(scope) {
                 val sentAtMillis = dependencies.clock.monotonicMillis()
                 val outcome = runner.run(request, target, deadlineAtMillis, route)
+                hedges?.ended(target, outcome)
                 if (outcome is AttemptOutcome.StreamStarted) placement.started(target)
                 guarded.observe(outcome, target, sentAtMillis)
             }
-            return true
         }
     }
 
@@ -231,12 +271,18 @@
         placement: StreamPlacement,
         purpose: SendPurpose,
     ): Target? {
-        val usable = dependencies.gatewayState.targets.read().usable(service).filter { placement.allows(it) }
+        val usable = usable(service, placement)
         val chosen = chooseTarget(dependencies.candidates(usable, purpose), tried, dependencies.random)
         return usable.firstOrNull { it.id == chosen?.id }
     }
 
+    private fun usable(
+        service: ServiceName,
+        placement: StreamPlacement,
+    ): List<Target> = dependencies.gatewayState.targets.read().usable(service).filter { placement.allows(it) }
+
     private companion object {
+        private const val NO_ATTEMPT_ENDED = "no target"
         private const val PERCENT = 100
         private const val FIRST_SERVER_ERROR = 500
 
