Share the watches of the key-value service in large fleets

Every process watched three prefixes of the service itself, so that the calls grew with the fleet. From follow.sharedFromMembers members on (default 40), two processes of each data centre, chosen by weighted rendezvous hashing, watch it, and the others long-poll these.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -12,6 +12,8 @@
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.Registration
 import bergamotwall.gateway.members.isAssignedOwner
+import bergamotwall.gateway.news.SharedWatchDependencies
+import bergamotwall.gateway.news.SharedWatches
 import bergamotwall.gateway.relays.RelayPeer
 import bergamotwall.gateway.relays.RelayedTargetClient
 import bergamotwall.gateway.relays.TargetRelay
@@ -172,9 +174,24 @@
             eventLoop,
         )
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
+    private val sharedWatches =
+        SharedWatches(
+            SharedWatchDependencies(
+                settings.id,
+                settings.dataCentre,
+                { gatewayState.members.read() },
+                store,
+                store,
+                drivers.peers,
+                drivers.clock,
+                outages,
+                metrics,
+            ),
+            settings.follow,
+        )
     private val watches: StoreWatches = StoreWatches(
         settings,
-        drivers.copy(store = store, feed = store),
+        drivers,
         targetDependencies,
         outages,
         StoreWatchHandlers(
@@ -188,6 +205,7 @@
             },
             ::onSectionChanged,
         ),
+        sharedWatches,
     )
     private val weightRollout =
         WeightRollout(
@@ -338,6 +356,7 @@
             is CheckAlive -> Alive(if (ready) incarnation else 0)
             else ->
                 relay.handle(message)
+                    ?: sharedWatches.handle(message)
                     ?: batches.handle(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -111,6 +111,15 @@
     val outageMillis: Long = 2_000,
     /** Pause after a failed call. */
     val retryMillis: Long = 200,
+    /**
+     * From this number of members on, two processes of each data centre watch the service for the others. With fewer,
+     * the calls saved are not worth the dependence on other processes.
+     */
+    val sharedFromMembers: Int = 40,
+    /** A process that watches for others is not used while its own latest proof is older than this. */
+    val sharedAgeMillis: Long = 1_500,
+    /** How much longer than its long poll a call to a process of the same data centre may take. */
+    val sharedMarginMillis: Long = 300,
 )
 
 /** Validates what the types of [settings] can't express. Returns the problems found; empty if valid. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -4,6 +4,7 @@
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
+import bergamotwall.gateway.news.SharedWatches
 import bergamotwall.gateway.store.DecodedEntries
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.PrefixWatcher
@@ -38,6 +39,7 @@
     private val targets: TargetDependencies,
     private val outages: StoreOutages,
     private val handlers: StoreWatchHandlers,
+    private val shared: SharedWatches,
 ) {
     private val watchSettings = settings.follow
     private val gatewayState = targets.gatewayState
@@ -111,8 +113,9 @@
         onChange: (Map<String, KeyValueEntry>) -> Unit,
     ): PrefixWatcher {
         val retryMillis = watchSettings.retryMillis
-        val timing = WatchTiming(waitMillis, pauseMillis, graceMillis, { outages.endedAtMillis }, retryMillis)
-        return PrefixWatcher(prefix, drivers.store, drivers.feed, drivers.clock, timing, onChange)
+        val sharedPauseMillis = { shared.pauseMillis(prefix, pauseMillis()) }
+        val timing = WatchTiming(waitMillis, sharedPauseMillis, graceMillis, { outages.endedAtMillis }, retryMillis)
+        return PrefixWatcher(prefix, shared, shared, drivers.clock, timing, onChange)
     }
 
     private fun memberPauseMillis(): Long =
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
@@ -0,0 +1,89 @@
+package bergamotwall.gateway.news
+
+import bergamotwall.decisions.membership.FollowerTrust
+import bergamotwall.drivers.KeyValueListing
+import bergamotwall.gateway.members.GatewayMember
+import bergamotwall.model.NodeId
+import bergamotwall.runtime.Clock
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import io.prometheus.metrics.core.metrics.Counter
+import org.tinylog.Logger
+
+/** State of the shared watch on [prefix] at this process. Used by one watch at a time. */
+internal class SharedWatch(
+    val prefix: String,
+    private val clock: Clock,
+    private val failures: Counter,
+) {
+    val copy = PrefixCopy()
+    private val trust = FollowerTrust(FIRST_AVOID_MILLIS, MAX_AVOID_MILLIS)
+    private var lost: NodeId? = null
+    private var followedListing: Long? = null
+
+    /** The follower that sent the latest response, null if the service itself did. */
+    @Volatile
+    var source: NodeId? = null
+        private set
+
+    /** The followers to ask now, out of [order]. */
+    fun usable(order: List<GatewayMember>): List<GatewayMember> {
+        val ids = trust.usable(order.map { it.id }, clock.monotonicMillis()).toSet()
+        return order.filter { it.id in ids }
+    }
+
+    /** Whether [follower] may be sent a long poll. */
+    fun trusts(follower: GatewayMember): Boolean = trust.trusts(follower.id)
+
+    /** Records that the response of [follower] was accepted. */
+    fun followed(follower: GatewayMember) {
+        trust.succeeded(follower.id)
+        if (source == follower.id) return
+        val event = if (lost == follower.id) "follower_regained" else "follower_chosen"
+        Logger.info("event={} prefix={} follower={}", event, prefix, follower.id.value)
+        if (lost == follower.id) lost = null
+        source = follower.id
+    }
+
+    /** Records that [follower] failed because of [cause]. */
+    fun failed(
+        follower: GatewayMember,
+        cause: FollowerFailure,
+    ) {
+        trust.failed(follower.id, clock.monotonicMillis())
+        val reason = cause.name.lowercase()
+        failures.labelValues(reason).inc()
+        if (source != follower.id && lost == follower.id) return
+        lost = follower.id
+        Logger.warn("event=follower_lost prefix={} follower={} cause={}", prefix, follower.id.value, reason)
+    }
+
+    /** Records the [listing] that a follower sent. */
+    fun listed(listing: KeyValueListing) {
+        copy.listed(listing, null)
+        followedListing = listing.revision
+    }
+
+    /**
+     * Whether [response] says that the changes after revision [after] are gone, so that all entries must be listed. If
+     * they were listed at that very revision, the follower contradicts itself, and the response is a failure.
+     */
+    fun mustList(
+        after: Long,
+        response: Result<*, FollowerFailure>,
+    ): Boolean = response.getError() == FollowerFailure.HISTORY_GONE && after != followedListing
+
+    /** Records that the service itself was asked. */
+    fun bypassed() {
+        trust.bypassed()
+        source = null
+    }
+
+    private companion object {
+        /** Several times the pauses and partitions that pass by themselves in a moment. */
+        private const val FIRST_AVOID_MILLIS = 2_000L
+
+        /** A follower that can't be reached for long, or is of a build without shared watches, costs a call a minute. */
+        private const val MAX_AVOID_MILLIS = 60_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
@@ -0,0 +1,210 @@
+package bergamotwall.gateway.news
+
+import bergamotwall.decisions.membership.provenAfterMillis
+import bergamotwall.drivers.ChangeFeed
+import bergamotwall.drivers.KeyValueChanges
+import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.KeyValueListing
+import bergamotwall.drivers.KeyValueStore
+import bergamotwall.gateway.WatchSettings
+import bergamotwall.gateway.members.GatewayMember
+import bergamotwall.model.FollowChanges
+import bergamotwall.model.PeerMessage
+import bergamotwall.runtime.ClockReading
+import bergamotwall.runtime.read
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.delay
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Key-value service whose watches are shared: in a large fleet, a few processes of each data centre watch it, and the
+ * others receive the changes from these. All other calls are passed on as they are.
+ *
+ * A follower is sent a long poll only after it has just answered. When it fails, the other one is asked without a wait,
+ * and then the service, so that a reader is never without news for longer than one long poll and two short time-outs.
+ */
+internal class SharedWatches(
+    private val dependencies: SharedWatchDependencies,
+    private val settings: WatchSettings,
+) : KeyValueStore by dependencies.store,
+    ChangeFeed {
+    private val clock = dependencies.clock
+    private val roles =
+        WatchRoles(dependencies.self, dependencies.dataCentre, dependencies.members, settings.sharedFromMembers)
+    private val client =
+        FollowerClient(dependencies.peers, clock, settings.sharedMarginMillis, settings.sharedAgeMillis)
+    private val watches = ConcurrentHashMap<String, SharedWatch>()
+    private val server = FollowerServer({ watches[it]?.copy }, clock, settings.sharedAgeMillis)
+    private val metrics = SharedWatchMetrics(dependencies.metrics, { roles.current() }, { watches.values })
+    private val failures =
+        dependencies.metrics.counter("follower_failures", "Responses of followers not used, by reason.", "reason")
+
+    /** The response to a reader's [message], or null if it is none. */
+    suspend fun handle(message: PeerMessage): PeerMessage? = server.handle(message)
+
+    /**
+     * The pause of the watch on [prefix] after a change: at most [usualMillis], which keeps the calls of all processes
+     * to the service in bounds and is not needed where only a few of them call it.
+     */
+    fun pauseMillis(
+        prefix: String,
+        usualMillis: Long,
+    ): Long =
+        when {
+            roles.current() is WatchRole.Follower -> minOf(usualMillis, FOLLOWER_PAUSE_MILLIS)
+            watches[prefix]?.source != null -> minOf(usualMillis, READER_PAUSE_MILLIS)
+            else -> usualMillis
+        }
+
+    override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
+        val watch = watchOf(prefix)
+        val started = clock.read()
+        for (follower in followersFor(watch)) {
+            val response = client.list(follower, prefix, watch.copy, settings.marginMillis)
+            val followed = usedResponse(watch, follower, response) ?: continue
+            watch.listed(followed.content)
+            return Ok(followed.content.copy(provenAfterMillis = started.provenMillisUntil(followed.proof)))
+        }
+        watch.bypassed()
+        val sent = clock.read()
+        return dependencies.store.list(prefix).onSuccess { watch.copy.listed(it, sent) }
+    }
+
+    override suspend fun changes(
+        prefix: String,
+        afterRevision: Long,
+        waitMillis: Long,
+    ): Result<KeyValueChanges, KeyValueError> {
+        val watch = watchOf(prefix)
+        val request = FollowChanges(prefix, afterRevision, waitMillis)
+        return when (roles.current()) {
+            is WatchRole.Alone -> poll(watch, request).map { it.content }
+            is WatchRole.Follower -> follow(watch, request)
+            is WatchRole.Reader -> read(watch, request)
+        }
+    }
+
+    /**
+     * Polls the service for this process and the readers. The wait ends before the proof is too old for them. A copy
+     * to which another process has contributed is listed again first.
+     */
+    private suspend fun follow(
+        watch: SharedWatch,
+        request: FollowChanges,
+    ): Result<KeyValueChanges, KeyValueError> {
+        val proof = watch.copy.directProof ?: return Err(notListed)
+        val started = clock.read()
+        val longestMillis = readerWaitMillis(request.waitMillis) * FOLLOWER_WAIT_PERCENT / PERCENT
+        val waitMillis = (longestMillis - proof.millisUntil(started)).coerceAtLeast(MIN_WAIT_MILLIS)
+        return poll(watch, request.copy(waitMillis = minOf(request.waitMillis, waitMillis)))
+            .map { it.content.copy(provenAfterMillis = started.provenMillisUntil(it.proof)) }
+    }
+
+    private suspend fun read(
+        watch: SharedWatch,
+        request: FollowChanges,
+    ): Result<KeyValueChanges, KeyValueError> {
+        val started = clock.read()
+        val followers = followersFor(watch)
+        for (follower in followers) {
+            val waitMillis = if (watch.trusts(follower)) readerWaitMillis(request.waitMillis) else 0
+            val response = client.changes(follower, request.copy(waitMillis = waitMillis), watch.copy)
+            if (watch.mustList(request.after, response)) return Err(historyGone)
+            val followed = usedResponse(watch, follower, response) ?: continue
+            watch.copy.changed(request.after, followed.content, null)
+            if (waitMillis > 0 && followed.content.changes.isEmpty()) awaitShortestPoll(started)
+            return Ok(followed.content.copy(provenAfterMillis = started.provenMillisUntil(followed.proof)))
+        }
+        // After a failure the service is asked without a wait, as changes since the last response may be overdue.
+        val waitMillis = if (followers.isEmpty()) request.waitMillis else 0
+        return poll(watch, request.copy(waitMillis = waitMillis))
+            .map { it.content.copy(provenAfterMillis = started.provenMillisUntil(it.proof)) }
+    }
+
+    /** Polls the service itself and records its response in the copy. */
+    private suspend fun poll(
+        watch: SharedWatch,
+        request: FollowChanges,
+    ): Result<Followed<KeyValueChanges>, KeyValueError> {
+        watch.bypassed()
+        metrics.polledService()
+        val sent = clock.read()
+        return dependencies.feed.changes(request.prefix, request.after, request.waitMillis).map { changes ->
+            val received = clock.read()
+            val provenMillis =
+                provenAfterMillis(
+                    ageMillis = 0,
+                    // A response with changes may have been sent at any time since the request.
+                    waitedMillis = if (changes.changes.isEmpty()) request.waitMillis else 0,
+                    longestWaitMillis = request.waitMillis,
+                    elapsedMillis = received.monotonicMillis - sent.monotonicMillis,
+                    suspendedMillis = sent.suspendedMillisUntil(received),
+                )
+            val proof = sent.plus(provenMillis)
+            watch.copy.changed(request.after, changes, proof)
+            Followed(changes, proof)
+        }
+    }
+
+    private fun watchOf(prefix: String): SharedWatch =
+        watches.computeIfAbsent(prefix) { SharedWatch(it, clock, failures) }
+
+    private fun followersFor(watch: SharedWatch): List<GatewayMember> =
+        (roles.current() as? WatchRole.Reader)?.let { watch.usable(it.followers) }.orEmpty()
+
+    /** The accepted [response] of [follower], or null; records which it is. */
+    private fun <T> usedResponse(
+        watch: SharedWatch,
+        follower: GatewayMember,
+        response: Result<Followed<T>, FollowerFailure>,
+    ): Followed<T>? =
+        response
+            .onSuccess {
+                metrics.polledFollower()
+                watch.followed(follower)
+                dependencies.outages.respondedAt(it.proof)
+            }.onFailure { watch.failed(follower, it) }
+            .get()
+
+    /** A follower responds early to each new proof; one that always does so must not keep this process busy. */
+    private suspend fun awaitShortestPoll(started: ClockReading) {
+        delay(MIN_WAIT_MILLIS - (clock.monotonicMillis() - started.monotonicMillis))
+    }
+
+    /** How long a follower may hold back a poll that the service would be asked to hold back for [usualMillis]. */
+    private fun readerWaitMillis(usualMillis: Long): Long =
+        minOf(usualMillis * READER_WAIT_PERCENT / PERCENT, settings.sharedAgeMillis - AGE_MARGIN_MILLIS)
+
+    private companion object {
+        private const val PERCENT = 100
+
+        /**
+         * A silent follower is noticed, and the other one and the service asked, in the time in which a poll of the
+         * service itself would fail.
+         */
+        private const val READER_WAIT_PERCENT = 66
+
+        /** Shorter than the readers' polls, so that each of these ends with a new proof. */
+        private const val FOLLOWER_WAIT_PERCENT = 80
+
+        /** For the calls of the follower itself: its proof must not become too old while it waits for the next. */
+        private const val AGE_MARGIN_MILLIS = 100L
+        private const val MIN_WAIT_MILLIS = 20L
+        private const val READER_PAUSE_MILLIS = 5L
+
+        /** Two followers a data centre then make fewer calls in a burst of changes than all processes did before. */
+        private const val FOLLOWER_PAUSE_MILLIS = 40L
+        private val notListed = KeyValueError.HistoryCompacted("this process watches for others from now on")
+        private val historyGone = KeyValueError.HistoryCompacted("the follower no longer has the changes")
+    }
+}
+
+/** Time until [later] that has certainly passed: the shorter one if the VM was suspended or its wall clock set. */
+private fun ClockReading.provenMillisUntil(later: ClockReading): Long =
+    minOf(later.monotonicMillis - monotonicMillis, later.wallMillis - wallMillis)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -59,7 +59,7 @@
         store.list(prefix).fold(
             success = { listing ->
                 onSuccess()
-                confirm(sent, 0, listing.relay)
+                confirm(sent, listing.provenAfterMillis, listing.relay)
                 keys.listed(listing.entries.associateBy { it.key }, clock.monotonicMillis())
                 revision = listing.revision
                 onChange(keys.current())
@@ -85,7 +85,7 @@
                     } else {
                         minOf(waitedMillis, received.monotonicMillis - sent.monotonicMillis)
                     }
-                confirm(sent, provenMillis, response.relay)
+                confirm(sent, response.provenAfterMillis ?: provenMillis, response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
                 if (response.changes.isNotEmpty()) {
@@ -99,7 +99,10 @@
         )
     }
 
-    /** Records the proof that the entries were current [afterMillis] after [sent]. */
+    /**
+     * Records the proof that the entries were current [afterMillis] after [sent], unless a later one is known: what a
+     * follower proves may be older than what the one before it proved.
+     */
     private fun confirm(
         sent: ClockReading,
         afterMillis: Long,
@@ -107,6 +110,7 @@
     ) {
         val atMillis = sent.monotonicMillis + afterMillis
         val gapMillis = atMillis - (confirmation?.atMillis ?: atMillis)
+        if (gapMillis < 0) return
         confirmation = WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/StoreOutages.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/StoreOutages.kt
@@ -18,9 +18,15 @@
     public val endedAtMillis: Long? get() = lastEnd.get()?.monotonicMillis
 
     /** Records that the service has responded to a call, whatever the response is. */
-    public fun responded() {
-        val now = clock.read()
-        val before = lastResponse.getAndSet(now)
-        if (before != null && before.millisUntil(now) >= shortestMillis) lastEnd.set(now)
+    public fun responded(): Unit = respondedAt(clock.read())
+
+    /** Records that the service had responded at [moment], to this process or to one that watches it for others. */
+    internal fun respondedAt(moment: ClockReading) {
+        val before = lastResponse.getAndUpdate { if (it == null || it.isBefore(moment)) moment else it }
+        if (before != null && before.isBefore(moment) && before.millisUntil(moment) >= shortestMillis) {
+            lastEnd.set(moment)
+        }
     }
+
+    private fun ClockReading.isBefore(other: ClockReading) = monotonicMillis < other.monotonicMillis
 }
