--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
@@ -5,6 +5,8 @@
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.Clock
+import bergamotwall.runtime.ClockReading
+import bergamotwall.runtime.read
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import io.prometheus.metrics.core.metrics.Counter
@@ -20,6 +22,7 @@
     private val trust = FollowerTrust(FIRST_AVOID_MILLIS, MAX_AVOID_MILLIS)
     private var lost: NodeId? = null
     private var followedListing: Long? = null
+    private var latestProof: ClockReading? = null
 
     /** The follower that sent the latest response, null if the service itself did. */
     @Volatile
@@ -35,9 +38,13 @@
     /** Whether [follower] may be sent a long poll. */
     fun trusts(follower: GatewayMember): Boolean = trust.trusts(follower.id)
 
-    /** Records that the response of [follower] was accepted. */
-    fun followed(follower: GatewayMember) {
+    /** Records that the response of [follower] was accepted, which was current at [proof]. */
+    fun followed(
+        follower: GatewayMember,
+        proof: ClockReading,
+    ) {
         trust.succeeded(follower.id)
+        proven(proof)
         if (source == follower.id) return
         val event = if (lost == follower.id) "follower_regained" else "follower_chosen"
         Logger.info("event={} prefix={} follower={}", event, prefix, follower.id.value)
@@ -73,6 +80,14 @@
         response: Result<*, FollowerFailure>,
     ): Boolean = response.getError() == FollowerFailure.HISTORY_GONE && after != followedListing
 
+    /** Records that this process was current at [moment]. */
+    fun proven(moment: ClockReading) {
+        if (latestProof.let { it == null || it.monotonicMillis < moment.monotonicMillis }) latestProof = moment
+    }
+
+    /** Time since the latest proof that this process was current. */
+    fun proofAgeMillis(): Long = latestProof?.millisUntil(clock.read()) ?: Long.MAX_VALUE
+
     /** Records that the service itself was asked. */
     fun bypassed() {
         trust.bypassed()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
@@ -113,7 +113,7 @@
         val started = clock.read()
         val followers = followersFor(watch)
         for (follower in followers) {
-            val waitMillis = if (watch.trusts(follower)) readerWaitMillis(request.waitMillis) else 0
+            val waitMillis = if (watch.trusts(follower)) watch.longPollMillis(request.waitMillis) else 0
             val response = client.changes(follower, request.copy(waitMillis = waitMillis), watch.copy)
             if (watch.mustList(request.after, response)) return Err(historyGone)
             val followed = usedResponse(watch, follower, response) ?: continue
@@ -147,6 +147,7 @@
                     suspendedMillis = sent.suspendedMillisUntil(received),
                 )
             val proof = sent.plus(provenMillis)
+            watch.proven(proof)
             watch.copy.changed(request.after, changes, proof)
             Followed(changes, proof)
         }
@@ -167,7 +168,7 @@
         response
             .onSuccess {
                 metrics.polledFollower()
-                watch.followed(follower)
+                watch.followed(follower, it.proof)
                 dependencies.outages.respondedAt(it.proof)
             }.onFailure { watch.failed(follower, it) }
             .get()
@@ -177,9 +178,16 @@
         delay(MIN_WAIT_MILLIS - (clock.monotonicMillis() - started.monotonicMillis))
     }
 
+    /** A follower that falls silent is given up before the latest proof is much older than a proof may be. */
+    private fun SharedWatch.longPollMillis(usualMillis: Long): Long {
+        val remainingMillis = settings.sharedAgeMillis - PROOF_MARGIN_MILLIS - proofAgeMillis()
+        return minOf(usualMillis, remainingMillis.coerceIn(MIN_WAIT_MILLIS, readerWaitMillis(usualMillis)))
+    }
+
     /** How long a follower may hold back a poll that the service would be asked to hold back for [usualMillis]. */
     private fun readerWaitMillis(usualMillis: Long): Long =
         minOf(usualMillis * READER_WAIT_PERCENT / PERCENT, settings.sharedAgeMillis - AGE_MARGIN_MILLIS)
+            .coerceAtLeast(MIN_WAIT_MILLIS)
 
     private companion object {
         private const val PERCENT = 100
@@ -193,6 +201,9 @@
         /** Shorter than the readers' polls, so that each of these ends with a new proof. */
         private const val FOLLOWER_WAIT_PERCENT = 80
 
+        /** Time for asking the other follower and the service after a follower fell silent. */
+        private const val PROOF_MARGIN_MILLIS = 200L
+
         /** For the calls of the follower itself: its proof must not become too old while it waits for the next. */
         private const val AGE_MARGIN_MILLIS = 100L
         private const val MIN_WAIT_MILLIS = 20L
