--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/PrefixWatcher.kt
@@ -71,11 +71,11 @@
         store.list(prefix).fold(
             success = { listing ->
                 onSuccess()
-                confirm(sent, 0, listing.relay)
+                confirm(sent, listing.provenAfterMillis, listing.relay)
                 keys.listed(listing.entries.associateBy { it.key }, clock.monotonicMillis())
                 revision = listing.revision
                 onChange(keys.current())
-                applied(sent, 0, listing.relay)
+                applied(sent, listing.provenAfterMillis, listing.relay)
             },
             failure = { onFailure(it) },
         )
@@ -98,18 +98,19 @@
                     } else {
                         minOf(waitedMillis, received.monotonicMillis - sent.monotonicMillis)
                     }
-                confirm(sent, provenMillis, response.relay)
+                confirm(sent, response.provenAfterMillis ?: provenMillis, response.relay)
                 // Without changes the revision stays as it is. If the call missed a change because the service had
                 // dropped its history, the next call with the same revision returns the change, or an error.
                 if (response.changes.isNotEmpty()) {
                     revision = response.revision
                     response.changes.forEach { apply(it) }
                     onChange(keys.current())
-                    applied(sent, 0, response.relay)
-                    proofDue = timing.provesChangesAtOnce
+                    // What a follower proves allows for delays on the way already.
+                    applied(sent, response.provenAfterMillis ?: 0, response.relay)
+                    proofDue = timing.provesChangesAtOnce && response.provenAfterMillis == null
                     delay(timing.pauseMillis())
                 } else {
-                    applied(sent, provenMillis, response.relay)
+                    applied(sent, response.provenAfterMillis ?: provenMillis, response.relay)
                     proofDue = false
                 }
             },
@@ -135,15 +136,20 @@
         appliedConfirmation = confirmationOf(appliedConfirmation, sent, afterMillis, relay)
     }
 
+    /**
+     * The proof that the entries were current [afterMillis] after [sent], or [previous] if that is later: what a
+     * follower proves may be older than what the one before it proved.
+     */
     private fun confirmationOf(
         previous: WatchConfirmation?,
         sent: ClockReading,
         afterMillis: Long,
         relay: NodeId?,
-    ): WatchConfirmation {
+    ): WatchConfirmation? {
         val atMillis = sent.monotonicMillis + afterMillis
         val gapMillis = atMillis - (previous?.atMillis ?: atMillis)
-        return WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
+        val later = WatchConfirmation(atMillis, sent.wallMillis + afterMillis, gapMillis, relay)
+        return if (gapMillis < 0) previous else later
     }
 
     private fun apply(change: KeyValueChange) {
