Extract the leader's term and the vacancy of a leadership

The reports on usage need what the leader of weight orders does: waiting for a former leader, giving up without paths, a head start for the last leader. LeaderTerm and LeadershipVacancy hold it once; weight orders behave as before. An order that ends with an exception still counts as answered.

LeaderWithoutPathToEnginesTest and VersionsReachTooFewEnginesTest, unchanged: passed.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.decisions.membership.newsPauseMillis
 import bergamotwall.drivers.KeyValueEntry
+import bergamotwall.gateway.duties.LeadershipVacancy
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
 import bergamotwall.gateway.store.DecodedEntries
@@ -16,7 +17,6 @@
 import bergamotwall.runtime.LeadershipKeys
 import kotlinx.coroutines.CoroutineScope
 import org.tinylog.Logger
-import java.util.concurrent.atomic.AtomicLong
 
 /** Parts of the [GatewayState] whose changes are reported. */
 internal enum class WatchedSection { ROUTES, TARGETS, MEMBERS, EVACUATIONS }
@@ -77,25 +77,15 @@
     /** The latest proof that the list of targets is current; null before the first listing. */
     val targetsConfirmation: WatchConfirmation? get() = targetWatcher.confirmation
 
-    private val leadershipFreeSinceMillis = AtomicLong(Long.MAX_VALUE)
-
-    @Volatile
-    private var lastLeader: String? = null
+    private val weightLeadership =
+        LeadershipVacancy(
+            LeadershipKeys(GatewayKeys.WEIGHT_LEADER, GatewayKeys.LAST_WEIGHT_LEADER),
+            settings.id,
+            drivers.clock,
+        )
 
-    /** Whether this process is the leader that sends weight orders, as far as the key-value service tells. */
-    @Volatile
-    private var leading = false
-
-    /**
-     * Whether this process should try to become the leader that sends weight orders, because there is none. The last
-     * leader gets a head start, as it need not wait before it sends orders again.
-     */
-    fun shouldAcquireLeadership(): Boolean {
-        val hasHeadStart = lastLeader in setOf(null, LeadershipKeys.RESIGNED, settings.id.value)
-        val freeSinceMillis = leadershipFreeSinceMillis.get()
-        return freeSinceMillis != Long.MAX_VALUE &&
-            drivers.clock.monotonicMillis() >= freeSinceMillis + if (hasHeadStart) 0 else HEAD_START_MILLIS
-    }
+    /** Whether this process should try to become the leader that sends weight orders, because there is none. */
+    fun shouldAcquireLeadership(): Boolean = weightLeadership.shouldAcquire()
 
     fun start(scope: CoroutineScope) {
         operatorWatcher.start(scope)
@@ -125,7 +115,7 @@
 
     /** Processes that place items or order weights need to know at once which engines hold which version. */
     private fun targetPauseMillis(): Long =
-        if (leading || handlers.runsBatches()) {
+        if (weightLeadership.leader?.value == settings.id.value || handlers.runsBatches()) {
             watchSettings.targetPauseMillis
         } else {
             newsPauseMillis(
@@ -184,22 +174,11 @@
         val previous = gatewayState.members.read().members
         gatewayState.members.update { MemberList(list.associateBy { it.id }) }
         handlers.onLiveEntries(entries)
-        lastLeader = entries[GatewayKeys.LAST_WEIGHT_LEADER]?.value
-        leading = entries[GatewayKeys.WEIGHT_LEADER]?.value == settings.id.value
-        if (GatewayKeys.WEIGHT_LEADER in entries) {
-            leadershipFreeSinceMillis.set(Long.MAX_VALUE)
-        } else {
-            leadershipFreeSinceMillis.compareAndSet(Long.MAX_VALUE, drivers.clock.monotonicMillis())
-        }
+        weightLeadership.onStoreChanged(entries)
         val removed =
             previous.values.filter { old -> list.none { it.id == old.id && it.incarnation == old.incarnation } }
         removed.forEach { Logger.info("event=member_gone id={} incarnation={}", it.id.value, it.incarnation) }
         // Any change counts: a process may have started and stopped unnoticed while the service was unavailable.
         if (list.toSet() != previous.values.toSet()) handlers.onChange(WatchedSection.MEMBERS)
     }
-
-    private companion object {
-        /** Processes that lost power at the same time restart within about a second of each other. */
-        private const val HEAD_START_MILLIS = 1_000L
-    }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/SentOrders.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/duties/SentOrders.kt
@@ -1,4 +1,4 @@
-package bergamotwall.gateway.weights
+package bergamotwall.gateway.duties
 
 import bergamotwall.runtime.Clock
 
@@ -8,13 +8,16 @@
     private var sentAtMillis = NEVER
     private var unansweredAtMillis = NEVER
 
-    /** Sends an order by [call]. */
-    suspend fun send(call: suspend () -> OrderOutcome): OrderOutcome {
+    /** Sends an order by [call]; [answered] tells from its outcome whether there was a response. */
+    suspend fun <T> send(
+        answered: (T) -> Boolean,
+        call: suspend () -> T,
+    ): T {
         underWay++
         sentAtMillis = clock.monotonicMillis()
         try {
             val outcome = call()
-            if (outcome == OrderOutcome.UNKNOWN) unansweredAtMillis = clock.monotonicMillis()
+            if (!answered(outcome)) unansweredAtMillis = clock.monotonicMillis()
             return outcome
         } finally {
             underWay--
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -5,6 +5,9 @@
 import bergamotwall.decisions.weights.planLoads
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
+import bergamotwall.gateway.duties.LeaderTerm
+import bergamotwall.gateway.duties.TermPhase
+import bergamotwall.gateway.duties.TermTiming
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetList
 import bergamotwall.model.ModelName
@@ -48,19 +51,19 @@
 ) {
     private val loads = WeightLoads(dependencies)
     private val engines = EngineStateCache(dependencies.orders)
-    private var mayActFromMillis: Long? = null
-
-    private val sentOrders = SentOrders(dependencies.clock)
-
-    /** Whether no engine responded when several were asked last. */
-    private var cutOff = false
-    private var abstainUntilMillis = Long.MIN_VALUE
 
     /**
      * The previous leader may act until it notices that its lease has expired, and engines require a pause between the
      * orders of two leaders.
      */
     private val predecessorWaitMillis = settings.leaseTtlSeconds * MILLIS_PER_SECOND + settings.pauseMillis
+    private val term =
+        LeaderTerm(
+            leadership,
+            dependencies.clock,
+            TermTiming(predecessorWaitMillis, settings.pauseMillis, settings.abstainMillis),
+            receivers = "engines",
+        )
 
     /**
      * Starts the rollout in [scope]. [eligible] returns whether this process should try to become the leader,
@@ -86,38 +89,16 @@
         eligible: Boolean,
         hasPaths: Boolean,
     ) {
-        val nowMillis = dependencies.clock.monotonicMillis()
-        val mayAcquire = eligible && hasPaths && nowMillis >= abstainUntilMillis
-        if (leadership.holding == null && !mayAcquire) return
-        val leaves = leadership.holding != null && (cutOff || !hasPaths)
-        if (leaves && sentOrders.settled(settings.pauseMillis)) {
-            Logger.warn("event={}", "leadership_given_up_without_engines")
-            abstainUntilMillis = nowMillis + settings.abstainMillis
-            if (sentOrders.allAnswered(settings.abstainMillis)) leadership.resign() else leadership.release()
-        } else {
-            leadership.step()
-        }
-        when {
-            leadership.holding == null -> reset()
-            !leaves && mayIssueOrders() -> plan(scope)
+        when (term.step(eligible, hasPaths)) {
+            TermPhase.NOT_COMPETING, TermPhase.WAITING -> Unit
+            TermPhase.NOT_LEADING -> {
+                loads.clear()
+                engines.clear()
+            }
+            TermPhase.ACTING -> plan(scope)
         }
     }
 
-    /** Whether orders of the previous leader can't arrive any more. No wait is needed if that was this process. */
-    private suspend fun mayIssueOrders(): Boolean {
-        val nowMillis = dependencies.clock.monotonicMillis()
-        val waitMillis = if (leadership.actedLast || leadership.predecessorResigned) 0 else predecessorWaitMillis
-        val from = mayActFromMillis ?: (nowMillis + waitMillis).also { mayActFromMillis = it }
-        return nowMillis >= from && leadership.startActing()
-    }
-
-    private fun reset() {
-        mayActFromMillis = null
-        cutOff = false
-        loads.clear()
-        engines.clear()
-    }
-
     private fun plan(scope: CoroutineScope) {
         val targets = dependencies.gatewayState.targets.read()
         val states = dependencies.gatewayState.namedVersions.read().mapNotNull { (model, namedVersion) ->
@@ -172,7 +153,7 @@
         when {
             expectedOrders == null -> {
                 val engineList = dependencies.gatewayState.targets.read().usable(target.service)
-                cutOff = cutOff || !engines.anyResponds(engineList - target)
+                term.cutOff = term.cutOff || !engines.anyResponds(engineList - target)
                 delay(settings.orderTimeoutMillis)
             }
             holding == null || !leadership.mayAct() || engines.versionOf(target, model) >= version -> Unit
@@ -194,7 +175,9 @@
         target: Target,
         order: WeightOrder,
     ) {
-        val outcome = sentOrders.send { dependencies.orders.send(target, order) }
+        val outcome = term.orders.send({ it != OrderOutcome.UNKNOWN }) {
+            dependencies.orders.send(target, order)
+        }
         dependencies.metrics.ordered(outcome.name)
         dependencies.journal.record(decisionOf(target, order, outcome))
         when (outcome) {
