Report how many runs of callers' requests started, by workspace

Each process records starts and pushes them to the leader, which decides each window once, stores the report under its lease and sends it until the platform accepts it. The leader's own starts are kept at a mirror. Settings usage are null by default, and filled in where the platform names a usage window.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -26,6 +26,9 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLimits
 import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.usage.StartRecorder
+import bergamotwall.gateway.usage.UsageDependencies
+import bergamotwall.gateway.usage.UsageReporting
 import bergamotwall.gateway.weights.WeightRollout
 import bergamotwall.gateway.weights.WeightRolloutDependencies
 import bergamotwall.model.Alive
@@ -117,6 +120,24 @@
             settings.relays,
         ) { relayedRequests.inc() }
 
+    private val usage: UsageReporting? =
+        settings.usage?.let { usageSettings ->
+            val dependencies =
+                UsageDependencies(
+                    node = settings.id,
+                    incarnation = incarnation,
+                    gatewayState = gatewayState,
+                    store = store,
+                    peers = drivers.peers,
+                    driver = requireNotNull(drivers.usage) { "no driver for usage reports" },
+                    clock = drivers.clock,
+                    random = random,
+                    journal = journal,
+                    metrics = metrics,
+                )
+            UsageReporting(dependencies, usageSettings, eventLoop)
+        }
+
     private val targetDependencies =
         TargetDependencies(
             gatewayState = gatewayState,
@@ -129,6 +150,7 @@
             dataCentre = settings.dataCentre,
             metrics = metrics,
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
+            starts = usage?.recorder ?: StartRecorder.NONE,
         )
 
     /** Sends requests to targets for peers that can't reach them. */
@@ -182,6 +204,7 @@
             { entries ->
                 crashes.onStoreChanged(entries)
                 limitPublisher.onStoreChanged(entries)
+                usage?.onStoreChanged(entries)
                 val wasReady = ready
                 streamOrigins.onStoreChanged(entries)
                 if (ready != wasReady) registration.changed()
@@ -255,6 +278,7 @@
             eligible = { settings.frontAddress != null && ready && watches.shouldAcquireLeadership() },
             hasPaths = { !targetClient.cutOff },
         )
+        usage?.start(CoroutineScope(scope.coroutineContext + eventLoop)) { settings.frontAddress != null && ready }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
@@ -263,6 +287,7 @@
         leave.begin()
         Logger.info("event=leaving id={}", settings.id.value)
         weightRollout.release()
+        usage?.release()
         batches.release()
         streamOrigins.publish()
         registration.end()
@@ -338,6 +363,7 @@
             is CheckAlive -> Alive(if (ready) incarnation else 0)
             else ->
                 relay.handle(message)
+                    ?: usage?.handle(message)
                     ?: batches.handle(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
@@ -8,6 +8,7 @@
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetProtocol
+import bergamotwall.gateway.usage.UsageDriver
 import bergamotwall.gateway.weights.WeightOrders
 import bergamotwall.model.ModelName
 import bergamotwall.model.NodeId
@@ -25,6 +26,8 @@
     public val protocol: TargetProtocol,
     public val orders: WeightOrders,
     public val documents: SharedDocuments,
+    /** Required if usage is reported. */
+    public val usage: UsageDriver? = null,
 )
 
 /** Format of the documents that operators, trainers and targets write to the key-value service; one per platform. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.forwarding.ForwardLimits
 import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
+import bergamotwall.gateway.usage.UsageSettings
 import bergamotwall.gateway.weights.WeightSettings
 import bergamotwall.model.DataCentre
 import bergamotwall.model.DocumentProblem
@@ -54,6 +55,8 @@
     val streams: StreamSettings = StreamSettings(),
     val relays: RelaySettings = RelaySettings(),
     val weights: WeightSettings = WeightSettings(),
+    /** Reports on usage; null to disable. */
+    val usage: UsageSettings? = null,
 ) {
     /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
     internal val settleMillis: Long get() = leaveMillis * SETTLE_PERCENT / PERCENT
@@ -148,6 +151,10 @@
     check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
+    settings.usage?.let { usage ->
+        check(isAddress(usage.address), "usage.address", "is not host:port", "use the address of the platform's API")
+        check(usage.windowSeconds > 0 && usage.lateSeconds > 0, "usage.windowSeconds", "is not positive", "use 5")
+    }
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return problems
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -8,6 +8,7 @@
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
 import bergamotwall.gateway.targets.TargetDependencies
+import bergamotwall.gateway.usage.ObservedRun
 
 /** Sends a request to one target and receives the response. */
 internal class AttemptRunner(
@@ -46,10 +47,11 @@
                 resumeAfter = request.resume?.lastEventId,
                 repeatable = repeatable,
             )
+        val run = ObservedRun(dependencies.starts, dependencies.clock, request, stream, sentAtMillis)
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
         try {
-            val outcome = receive(exchange, Attempt(target, call.requestId, stream, sentAtMillis))
+            val outcome = receive(exchange, Attempt(target, call.requestId, stream, sentAtMillis, run))
             when (outcome) {
                 is AttemptOutcome.Complete -> load.succeeded(dependencies.clock.monotonicMillis() - sentAtMillis)
                 is AttemptOutcome.StreamStarted -> streaming = true
@@ -59,11 +61,18 @@
             return outcome
         } finally {
             load.ended()
+            run.ended()
             if (!streaming) exchange.cancel()
         }
     }
 
-    private class Attempt(val target: Target, val requestId: String, val stream: Boolean, val sentAtMillis: Long)
+    private class Attempt(
+        val target: Target,
+        val requestId: String,
+        val stream: Boolean,
+        val sentAtMillis: Long,
+        val run: ObservedRun,
+    )
 
     private suspend fun receive(
         exchange: TargetExchange,
@@ -85,8 +94,11 @@
         return when {
             metadata.notRun -> AttemptOutcome.NotRun("status ${head.status}", metadata.full)
             !metadata.signed -> AttemptOutcome.Broken("unsigned response with status ${head.status}")
-            attempt.stream && head.status == OK -> AttemptOutcome.StreamStarted(head, exchange)
-            else -> readBody(exchange, head)
+            attempt.stream && head.status == OK -> AttemptOutcome.StreamStarted(head, attempt.run.observe(exchange))
+            else -> {
+                attempt.run.responding()
+                readBody(exchange, head)
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -29,6 +29,15 @@
     /** Key whose entry names the last leader that sent weight orders; outlives its lease. */
     public const val LAST_WEIGHT_LEADER: String = "${LIVE}last/weights"
 
+    /** Lease key of the leader that reports usage. */
+    public const val USAGE_LEADER: String = "${LIVE}duties/usage"
+
+    /** Key whose entry names the last leader that reported usage; outlives its lease. */
+    public const val LAST_USAGE_LEADER: String = "${LIVE}last/usage"
+
+    /** Prefix of the reports on usage, by window. */
+    public const val USAGE: String = "bergamotwall/usage/"
+
     private const val ITEMS = "bergamotwall/batch-items/"
     private const val RESULTS = "bergamotwall/batch-results/"
     private const val TEXTS = "bergamotwall/batch-texts/"
@@ -50,6 +59,9 @@
         return if (content == null || parts.size < 2) null else InterruptionKey(content, TargetId(parts[1]))
     }
 
+    /** Key of the report on the usage in [window]. */
+    public fun usage(window: Long): String = USAGE + window
+
     /** Key of the ownership record of [batch]. */
     public fun batch(batch: BatchId): String = BATCHES + batch.value
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -4,6 +4,7 @@
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.http.TargetClient
+import bergamotwall.gateway.usage.StartRecorder
 import bergamotwall.model.DataCentre
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.Journal
@@ -22,6 +23,7 @@
     public val metrics: GatewayMetrics,
     public val limits: TargetLimits,
     public val departures: Departures = Departures(gatewayState, client, metrics),
+    public val starts: StartRecorder = StartRecorder.NONE,
 ) {
     /** Input for the placement policy: the current state of [targets] for requests of [purpose]. */
     internal fun candidates(
