--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -28,6 +28,9 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLimits
 import bergamotwall.gateway.targets.TargetLoads
+import bergamotwall.gateway.usage.StartRecorder
+import bergamotwall.gateway.usage.UsageDependencies
+import bergamotwall.gateway.usage.UsageReporting
 import bergamotwall.gateway.weights.WeightRollout
 import bergamotwall.gateway.weights.WeightRolloutDependencies
 import bergamotwall.gateway.workspaces.CallerKeys
@@ -132,6 +135,24 @@
             settings.relays,
         ) { relayedRequests.inc() }
 
+    private val usage: UsageReporting? =
+        settings.usage?.let { usageSettings ->
+            val dependencies =
+                UsageDependencies(
+                    node = settings.id,
+                    incarnation = incarnation,
+                    gatewayState = gatewayState,
+                    store = store,
+                    peers = drivers.peers,
+                    driver = requireNotNull(drivers.usage) { "no driver for usage reports" },
+                    clock = drivers.clock,
+                    random = random,
+                    journal = journal,
+                    metrics = metrics,
+                )
+            UsageReporting(dependencies, usageSettings, eventLoop)
+        }
+
     private val targetDependencies =
         TargetDependencies(
             gatewayState = gatewayState,
@@ -144,6 +165,7 @@
             dataCentre = settings.dataCentre,
             metrics = metrics,
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
+            starts = usage?.recorder ?: StartRecorder.NONE,
         )
 
     /** Sends requests to targets for peers that can't reach them. */
@@ -212,6 +234,7 @@
             { entries ->
                 crashes.onStoreChanged(entries)
                 limitPublisher.onStoreChanged(entries)
+                usage?.onStoreChanged(entries)
                 val wasReady = ready
                 streamOrigins.onStoreChanged(entries)
                 if (ready != wasReady) registration.changed()
@@ -286,6 +309,7 @@
             eligible = { settings.frontAddress != null && ready && watches.shouldAcquireLeadership() },
             hasPaths = { !targetClient.cutOff },
         )
+        usage?.start(CoroutineScope(scope.coroutineContext + eventLoop)) { settings.frontAddress != null && ready }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
@@ -294,6 +318,7 @@
         leave.begin()
         Logger.info("event=leaving id={}", settings.id.value)
         weightRollout.release()
+        usage?.release()
         batches.release()
         streamOrigins.publish()
         registration.end()
@@ -370,6 +395,7 @@
             else ->
                 relay.handle(message)
                     ?: sharedWatches.handle(message)
+                    ?: usage?.handle(message)
                     ?: batches.handle(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.forwarding.ForwardLimits
 import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
+import bergamotwall.gateway.usage.UsageSettings
 import bergamotwall.gateway.weights.WeightSettings
 import bergamotwall.gateway.workspaces.WorkspaceSettings
 import bergamotwall.model.DataCentre
@@ -56,6 +57,8 @@
     val relays: RelaySettings = RelaySettings(),
     val weights: WeightSettings = WeightSettings(),
     val workspaces: WorkspaceSettings = WorkspaceSettings(),
+    /** Reports on usage; null to disable. */
+    val usage: UsageSettings? = null,
 ) {
     /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
     internal val settleMillis: Long get() = leaveMillis * SETTLE_PERCENT / PERCENT
@@ -160,6 +163,10 @@
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
     check(settings.forward.hedging?.valid != false, "forward.hedging", "is out of range", "use {} for the defaults")
+    settings.usage?.let { usage ->
+        check(isAddress(usage.address), "usage.address", "is not host:port", "use the address of the platform's API")
+        check(usage.windowSeconds > 0 && usage.lateSeconds > 0, "usage.windowSeconds", "is not positive", "use 5")
+    }
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     val revokeMillis = settings.workspaces.revokeMillis
     check(revokeMillis == null || revokeMillis >= 1, "workspaces.revokeMillis", "is not positive", "use 5000")
