--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -3,6 +3,7 @@
 import bergamotwall.decisions.crashes.CrashLimits
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
+import bergamotwall.gateway.intake.IntakeSettings
 import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.weights.WeightSettings
@@ -54,6 +55,7 @@
     val streams: StreamSettings = StreamSettings(),
     val relays: RelaySettings = RelaySettings(),
     val weights: WeightSettings = WeightSettings(),
+    val intake: IntakeSettings = IntakeSettings(),
 ) {
     /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
     internal val settleMillis: Long get() = leaveMillis * SETTLE_PERCENT / PERCENT
--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
@@ -0,0 +1,38 @@
+package bergamotwall.gateway.intake
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What clients may take of a process. No client within the limits that operators state reaches a default: heads of
+ * 16,384 bytes within 3 s, bodies of 33,554,432 bytes with pauses of at most 15 s, connections idle for up to 12 s.
+ */
+@Serializable
+public data class IntakeSettings(
+    /** Share of the heap that all requests and responses in progress may hold together. */
+    val accountPercent: Int = 50,
+    /** Connections that all servers of the process keep open together; fewer if [maxFds] requires it. */
+    val maxConnections: Int = 1_500,
+    /** File descriptors of the process; at most half of them are used for clients. Null if not limited. */
+    val maxFds: Int? = null,
+    val maxHeadBytes: Int = 65_536,
+    /** Time from the first byte of a head to its end. */
+    val headTimeoutMillis: Long = 10_000,
+    /** Time allowed for a body before its first byte; each byte received extends it, see [minBodyBytesPerSecond]. */
+    val bodyTimeoutMillis: Long = 20_000,
+    /** A body that is slower than this for longer than [bodyTimeoutMillis] is not waited for. */
+    val minBodyBytesPerSecond: Int = 500,
+    /** A connection whose client has read nothing of a response for this long is closed. */
+    val unreadTimeoutMillis: Long = 60_000,
+    /** A connection without any progress for this long may be closed if memory is short. */
+    val stalledMillis: Long = 1_000,
+    /** How long a request waits for memory, unread, before it is refused as not run. */
+    val memoryWaitMillis: Long = 4_000,
+) {
+    /** Connections that all servers of the process keep open together. */
+    internal val connections: Int get() = minOf(maxConnections, maxFds?.let { it / FDS_PER_CONNECTION } ?: maxConnections)
+
+    private companion object {
+        /** The other half is for targets, peers, the key-value service and files. */
+        private const val FDS_PER_CONNECTION = 2
+    }
+}
