--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -129,6 +129,7 @@
             dataCentre = settings.dataCentre,
             metrics = metrics,
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
+            account = drivers.account,
         )
 
     /** Sends requests to targets for peers that can't reach them. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
@@ -4,6 +4,7 @@
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.Write
+import bergamotwall.drivers.http.MemoryAccount
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.Target
@@ -25,6 +26,7 @@
     public val protocol: TargetProtocol,
     public val orders: WeightOrders,
     public val documents: SharedDocuments,
+    public val account: MemoryAccount = MemoryAccount(),
 )
 
 /** Format of the documents that operators, trainers and targets write to the key-value service; one per platform. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -14,7 +14,7 @@
     private val dependencies: TargetDependencies,
     private val limits: ForwardLimits,
 ) {
-    private val buffered = SharedBuffer()
+    private val buffered = SharedBuffer(account = dependencies.account)
 
     /** Bytes of responses that are held until they are complete. */
     val bufferedBytes: Long get() = buffered.heldBytes
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/NettyTargetClient.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.drivers.http.MemoryAccount
 import bergamotwall.drivers.http.SharedBuffer
 import bergamotwall.model.NetworkAddress
 import io.netty.bootstrap.Bootstrap
@@ -15,7 +16,8 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Creates a client on the event loops of [group], whose connections are of [channelType].
+ * Creates a client on the event loops of [group], whose connections are of [channelType]. What it holds of responses is
+ * part of [account].
  *
  * It uses Netty's HTTP codec directly, because the rules for targets depend on details that a pooling HTTP client
  * hides: late responses to earlier requests, bytes after a complete response, responses that end with their connection,
@@ -25,16 +27,18 @@
     group: EventLoopGroup,
     channelType: Class<out Channel>,
     limits: TargetClientLimits = TargetClientLimits(),
-): TargetClient = NettyTargetClient(group, channelType, limits)
+    account: MemoryAccount = MemoryAccount(),
+): TargetClient = NettyTargetClient(group, channelType, limits, account)
 
 internal class NettyTargetClient(
     group: EventLoopGroup,
     channelType: Class<out Channel>,
     private val limits: TargetClientLimits,
+    account: MemoryAccount,
 ) : TargetClient {
     private val pools = ConcurrentHashMap<String, ConnectionPool>()
     private val opened = AtomicLong()
-    private val unread = SharedBuffer()
+    private val unread = SharedBuffer(account = account)
     private val doubts = ResponseDoubts()
     private val bootstrap =
         Bootstrap()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/relays/TargetRelay.kt
@@ -7,6 +7,7 @@
 import bergamotwall.gateway.http.isHopByHop
 import bergamotwall.gateway.http.streamedResponse
 import bergamotwall.gateway.http.withRawPath
+import bergamotwall.gateway.intake.readWhole
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.targets.TargetLoad
@@ -18,7 +19,6 @@
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.future.await
 import kotlinx.coroutines.future.future
 import java.util.concurrent.atomic.AtomicBoolean
 
@@ -38,7 +38,7 @@
         request: HttpRequest,
     ): HttpResponse {
         val response =
-            scope.future { request.aggregate().await().withRawPath(context)?.let { relay(it) } ?: notRun() }
+            scope.future { request.readWhole().withRawPath(context)?.let { relay(it) } ?: notRun() }
         context.whenRequestCancelling().thenAccept { response.cancel(true) }
         return HttpResponse.of(response)
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.targets
 
 import bergamotwall.decisions.placement.CandidateTarget
+import bergamotwall.drivers.http.MemoryAccount
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.http.TargetClient
@@ -9,7 +10,10 @@
 import bergamotwall.runtime.Journal
 import kotlin.random.Random
 
-/** Dependencies of everything that sends requests to targets. [dataCentre] is the data centre of this process. */
+/**
+ * Dependencies of everything that sends requests to targets. [dataCentre] is the data centre of this process; what is
+ * held of requests and responses counts in [account].
+ */
 public data class TargetDependencies(
     public val gatewayState: GatewayState,
     public val client: TargetClient,
@@ -22,6 +26,7 @@
     public val metrics: GatewayMetrics,
     public val limits: TargetLimits,
     public val departures: Departures = Departures(gatewayState, client, metrics),
+    public val account: MemoryAccount = MemoryAccount(),
 ) {
     /** Input for the placement policy: the current state of [targets] for requests of [purpose]. */
     internal fun candidates(
