--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -4,6 +4,7 @@
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
 import bergamotwall.gateway.intake.IntakeSettings
+import bergamotwall.gateway.intake.validateIntakeSettings
 import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.weights.WeightSettings
@@ -149,6 +150,7 @@
     check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
     check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
+    problems += validateIntakeSettings(settings.intake, source)
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     return problems
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.intake
 
+import bergamotwall.model.DocumentProblem
 import kotlinx.serialization.Serializable
 
 /**
@@ -29,10 +30,32 @@
     val memoryWaitMillis: Long = 4_000,
 ) {
     /** Connections that all servers of the process keep open together. */
-    internal val connections: Int get() = minOf(maxConnections, maxFds?.let { it / FDS_PER_CONNECTION } ?: maxConnections)
+    internal val connections: Int
+        get() = minOf(maxConnections, maxFds?.let { it / FDS_PER_CONNECTION } ?: maxConnections)
 
     private companion object {
         /** The other half is for targets, peers, the key-value service and files. */
         private const val FDS_PER_CONNECTION = 2
     }
 }
+
+/** Validates what the types of [settings] can't express. Returns the problems found; empty if valid. */
+internal fun validateIntakeSettings(
+    settings: IntakeSettings,
+    source: String,
+): List<DocumentProblem> {
+    val problem = { field: String, message: String, fix: String ->
+        DocumentProblem(source, 1, "intake.$field", message, fix)
+    }
+    return listOfNotNull(
+        problem("accountPercent", "is not 10 to 80", "use 50").takeIf { settings.accountPercent !in ACCOUNT_PERCENT },
+        problem("maxConnections", "leaves servers without connections", "use 20 or more, and twice that as maxFds")
+            .takeIf { settings.connections < MIN_CONNECTIONS },
+        problem("maxHeadBytes", "is not positive", "use 65536").takeIf { settings.maxHeadBytes < 1 },
+        problem("minBodyBytesPerSecond", "is not positive", "use 500").takeIf { settings.minBodyBytesPerSecond < 1 },
+    )
+}
+
+/** The rest of the heap is for what the process holds itself, and for copies that are made in passing. */
+private val ACCOUNT_PERCENT = 10..80
+private const val MIN_CONNECTIONS = 20
