Close a refused connection after its time to read, and say 408 or 503 only for incomplete requests

An evicted connection was no longer checked and stayed open until its client closed it. A request that became complete between the choice and the refusal could have been refused although it ran.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/ClientConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/ClientConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.DuplexChannel
 import io.netty.util.ReferenceCountUtil
 import java.nio.channels.ClosedChannelException
+import java.util.concurrent.TimeUnit
 
 /**
  * A connection of a client, in front of the HTTP codec. All but the properties and [evict] runs on its event loop.
@@ -24,7 +25,7 @@
     private lateinit var gate: RequestGate
     private val timing = ConnectionTiming(intake.settings, intake.nowMillis())
     private var codecAdded = false
-    private var closeAtMillis: Long? = null
+    private var refused = false
 
     /** Server that the client has connected to; known once the connection is. */
     lateinit var server: IntakeServer
@@ -87,7 +88,7 @@
         message: Any,
         promise: ChannelPromise,
     ) {
-        if (closeAtMillis == null) {
+        if (!refused) {
             context.write(message, promise)
         } else {
             ReferenceCountUtil.release(message)
@@ -107,22 +108,27 @@
     }
 
     override fun refuse(refusal: Refusal) {
-        if (closeAtMillis != null) return
+        if (refused) return
+        refused = true
         intake.refused(this, refusal)
-        closeAtMillis = intake.nowMillis() + LINGER_MILLIS
+        intake.waits(this, false)
+        val text = refusal.status?.takeIf { !responses.begun && gate.incomplete }?.let { responseOf(it, refusal) }
         gate.stop()
-        val text = refusal.status?.takeIf { !responses.begun }?.let { responseOf(it, refusal) }
         if (text == null) {
             context.close()
         } else {
             context.writeAndFlush(Unpooled.copiedBuffer(text, Charsets.US_ASCII)).addListener {
                 (context.channel() as? DuplexChannel)?.shutdownOutput()
             }
+            context.executor().schedule({ context.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
         }
     }
 
-    /** Closes the connection with [refusal], on any thread. */
-    fun evict(refusal: Refusal): Unit = context.channel().eventLoop().execute { if (isOpen) refuse(refusal) }
+    /** Closes the connection with [refusal], on any thread, unless a complete request has begun to run meanwhile. */
+    fun evict(refusal: Refusal): Unit =
+        context.channel().eventLoop().execute {
+            if (isOpen && (heldBytes > 0 || idleSinceMillis != null)) refuse(refusal)
+        }
 
     /** Applies what time has changed: memory that is free now, time limits that have passed. */
     fun check(): Unit = context.channel().eventLoop().execute { if (isOpen) checkNow() }
@@ -134,7 +140,7 @@
         responses.progress(context.channel())?.let { timing.progressed(nowMillis) }
         if (gate.waiting) update { gate.advance() }
         val refusal = timing.refusal(gate, responses, nowMillis)
-        if (closeAtMillis?.let { it <= nowMillis } == true) context.close() else refusal?.let { refuse(it) }
+        refusal?.let { refuse(it) }
     }
 
     private fun responded() {
@@ -149,9 +155,9 @@
         val idle = gate.phase == RequestGate.Phase.HEAD && !gate.hasPending
         if (idle && idleSinceMillis == null) idleSinceMillis = nowMillis
         timing.update(gate, idle, nowMillis)
-        intake.waits(this, gate.waiting)
+        intake.waits(this, gate.waiting && !refused)
         val full = gate.waiting || gate.phase == RequestGate.Phase.RESPONSE && gate.hasPending
-        if (full && closeAtMillis == null) pause.begin(context) else pause.end(context)
+        if (full && !refused) pause.begin(context) else pause.end(context)
     }
 
     private fun responseOf(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/HeldMemory.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/HeldMemory.kt
@@ -1,40 +1,5 @@
 package bergamotwall.gateway.intake
 
-import bergamotwall.decisions.admission.IntakeBudget
-import bergamotwall.drivers.http.MemoryAccount
-import java.util.concurrent.atomic.AtomicLongArray
-
-/** Memory that is held for clients, by class, as part of [account] and within [budget]. Thread-safe. */
-internal class IntakeMemory(
-    val account: MemoryAccount,
-    val budget: IntakeBudget,
-) {
-    private val held = AtomicLongArray(IntakeClass.entries.size)
-
-    fun heldBytes(kind: IntakeClass): Long = held.get(kind.ordinal)
-
-    /** Holds [bytes] for a request that holds [ownBytes], if the budget admits them. */
-    fun hold(
-        kind: IntakeClass,
-        bytes: Long,
-        ownBytes: Long,
-        privileged: Boolean,
-    ): Boolean {
-        val admitted = account.addIf(bytes) { budget.admits(it, ownBytes, bytes, privileged) }
-        if (admitted) held.addAndGet(kind.ordinal, bytes)
-        return admitted
-    }
-
-    /** Records [bytes] more, or fewer if negative. */
-    fun add(
-        kind: IntakeClass,
-        bytes: Long,
-    ) {
-        account.add(bytes)
-        held.addAndGet(kind.ordinal, bytes)
-    }
-}
-
 /** What one connection holds of [memory]. [add], [hold] and [release] run on its event loop. */
 internal class HeldMemory(private val memory: IntakeMemory) {
     private val held = LongArray(IntakeClass.entries.size)
@@ -44,6 +9,9 @@
     var heldBytes = 0L
         private set
 
+    /** Whether a request of [bytes] is an ordinary small one. */
+    fun isSmall(bytes: Long): Boolean = memory.budget.isSmall(bytes)
+
     fun of(kind: IntakeClass): Long = held[kind.ordinal]
 
     fun hold(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -131,7 +131,7 @@
         (settings.connections * server.connectionPercent / PERCENT).coerceAtLeast(1)
 
     private fun check() {
-        connections.forEach { it.check() }
+        connections.forEach { if (it.idleSinceMillis == null) it.check() }
         val longestMillis = waiting.maxOfOrNull { it.waitingMillis ?: 0 } ?: return
         repeat(MAX_CLOSED) {
             val overdue = longestMillis > settings.stalledMillis
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
@@ -51,6 +51,9 @@
     var waiting = false
         private set
 
+    /** Whether the current request can't have run: it is not complete, and not answered either. */
+    val incomplete: Boolean get() = (phase == Phase.HEAD || phase == Phase.BODY) && !responseEnded
+
     /** Whether the client has sent something that is not passed on yet. */
     val hasPending: Boolean get() = pending.isReadable
 
@@ -173,7 +176,7 @@
         kind: IntakeClass,
         bytes: Long,
     ): Boolean {
-        val small = memory.heldBytes + bytes <= SMALL_BYTES
+        val small = memory.isSmall(memory.heldBytes + bytes)
         waiting = (!small && limits.mustQueue()) || !memory.hold(kind, bytes, limits.privileged)
         return !waiting
     }
@@ -232,7 +235,6 @@
         /** Objects of the HTTP server for a request, and for each line of its head, estimated from their fields. */
         private const val REQUEST_BYTES = 8_192L
         private const val LINE_BYTES = 512L
-        private const val SMALL_BYTES = 65_536L
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private val HTTP2_PREFACE = "PRI ".toByteArray()
     }
