Collect bodies outside the heap until they are complete, and refuse batches that can't be decoded

A client that sent a quarter of a declared body made the process allocate all of it, and a body of 32 MiB in chunks ended a process with a heap of 96 MB while its array grew.

--- /dev/null
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/CollectedBytes.kt
@@ -0,0 +1,53 @@
+package bergamotwall.gateway.intake
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
+
+/**
+ * The bytes of a body while it arrives, outside the heap: a heap of 96 MB has no room for a body of 32 MiB beside its
+ * parts, or beside an array of its declared length that another client never fills.
+ */
+internal class CollectedBytes(private val allocator: ByteBufAllocator = ByteBufAllocator.DEFAULT) {
+    private val parts = ArrayDeque<ByteBuf>()
+    private var size = 0
+
+    fun add(part: ByteBuf) {
+        size += part.readableBytes()
+        while (part.isReadable) {
+            val last = parts.lastOrNull()?.takeIf { it.isWritable } ?: nextPart().also { parts.addLast(it) }
+            last.writeBytes(part, minOf(part.readableBytes(), last.writableBytes()))
+        }
+    }
+
+    /** The bytes in an array. They are not kept. */
+    fun take(): ByteArray {
+        val array = ByteArray(size)
+        var index = 0
+        while (parts.isNotEmpty()) {
+            val part = parts.removeFirst()
+            val count = part.readableBytes()
+            part.readBytes(array, index, count)
+            part.release()
+            index += count
+        }
+        size = 0
+        return array
+    }
+
+    /** Drops the bytes. */
+    fun clear() {
+        parts.forEach { it.release() }
+        parts.clear()
+        size = 0
+    }
+
+    private fun nextPart(): ByteBuf {
+        val capacity = size.coerceIn(MIN_PART_BYTES, MAX_PART_BYTES)
+        return allocator.directBuffer(capacity, capacity)
+    }
+
+    private companion object {
+        private const val MIN_PART_BYTES = 1_024
+        private const val MAX_PART_BYTES = 65_536
+    }
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -59,12 +59,15 @@
         loop.scheduleWithFixedDelay(::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** The largest batch that can be decoded: with its copies it takes the whole account. */
+    public val maxBatchBytes: Long get() = account.limitBytes / (1 + DECODED_COPIES)
+
     /** Runs [block] with memory to decode a batch of [bodyBytes]; null if there is none within some seconds. */
     public suspend fun <T : Any> decoding(
         bodyBytes: Int,
         block: suspend () -> T,
     ): T? {
-        val bytes = minOf(bodyBytes * DECODED_COPIES, memory.budget.maxRequestBytes - bodyBytes).coerceAtLeast(0)
+        val bytes = minOf(bodyBytes * DECODED_COPIES, memory.budget.maxRequestBytes - bodyBytes)
         val deadlineMillis = nowMillis() + settings.memoryWaitMillis
         while (!memory.hold(IntakeClass.BATCHES, bytes, ownBytes = bodyBytes.toLong(), privileged = false)) {
             if (nowMillis() > deadlineMillis) return null
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/WholeRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/WholeRequest.kt
@@ -12,8 +12,8 @@
 import java.util.concurrent.CompletableFuture
 
 /**
- * The request with its whole body, which is held once: each part is copied and released as it arrives, however small the
- * parts are.
+ * The request with its whole body, which is held once: outside the heap while it arrives, however small its parts are,
+ * then in one array.
  */
 public suspend fun HttpRequest.readWhole(): AggregatedHttpRequest {
     val body = BodySubscriber(this)
@@ -22,7 +22,7 @@
 }
 
 private class BodySubscriber(private val request: HttpRequest) : Subscriber<HttpObject> {
-    private val bytes = GrowingBytes(request.headers().contentLength())
+    private val bytes = CollectedBytes()
     private var trailers = HttpHeaders.of()
     val whole = CompletableFuture<AggregatedHttpRequest>()
 
