--- a/decisions/src/test/kotlin/bergamotwall/decisions/admission/IntakeBudgetTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/admission/IntakeBudgetTest.kt
@@ -54,8 +54,8 @@
         closed: String,
     ) {
         val holdings = connections.split(", ").map { text ->
-            val (name, bytes, stalled, waiting) = text.split(' ')
-            Holding(name, bytes.toLong(), stalled.toLong(), waiting.toLongOrNull())
+            val fields = text.split(' ')
+            Holding(fields[0], fields[1].toLong(), fields[2].toLong(), fields[3].toLongOrNull())
         }
         expectThat(budget.closedFirst(holdings, STALLED_MILLIS, overdue)?.name.orEmpty()).isEqualTo(closed)
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/ClientConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/ClientConnection.kt
@@ -46,7 +46,8 @@
 
     override val stalledMillis: Long get() = intake.nowMillis() - timing.progressAtMillis
 
-    override val waitingMillis: Long? get() = timing.waitingSinceMillis?.let { intake.nowMillis() - timing.startedAtMillis }
+    override val waitingMillis: Long?
+        get() = timing.waitingSinceMillis?.let { intake.nowMillis() - timing.startedAtMillis }
 
     /** When the current request began. */
     val startedAtMillis: Long get() = timing.startedAtMillis
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/ConnectionTiming.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/ConnectionTiming.kt
@@ -1,6 +1,6 @@
 package bergamotwall.gateway.intake
 
-/** Times of a connection, in milliseconds, and what follows from them. Written on its event loop, read on any thread. */
+/** Times of a connection, and what follows from them. Written on its event loop, read on any thread. */
 internal class ConnectionTiming(
     private val settings: IntakeSettings,
     val openedAtMillis: Long,
@@ -74,7 +74,8 @@
     }
 
     private fun allowedMillis(gate: RequestGate): Long =
-        settings.bodyTimeoutMillis + waitedMillis + gate.contentBytes * MILLIS_PER_SECOND / settings.minBodyBytesPerSecond
+        settings.bodyTimeoutMillis + waitedMillis +
+            gate.contentBytes * MILLIS_PER_SECOND / settings.minBodyBytesPerSecond
 
     private companion object {
         private const val MILLIS_PER_SECOND = 1_000L
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeServer.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeServer.kt
@@ -5,8 +5,8 @@
  * metrics keep theirs while callers have opened as many as they may.
  */
 public enum class IntakeServer(internal val connectionPercent: Int) {
-    CALLERS(60),
-    RELAY(25),
-    OPERATIONS(10),
-    METRICS(5),
+    CALLERS(connectionPercent = 60),
+    RELAY(connectionPercent = 25),
+    OPERATIONS(connectionPercent = 10),
+    METRICS(connectionPercent = 5),
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
@@ -57,5 +57,7 @@
 }
 
 /** The rest of the heap is for what the process holds itself, and for copies that are made in passing. */
-private val ACCOUNT_PERCENT = 10..80
+private val ACCOUNT_PERCENT = MIN_ACCOUNT_PERCENT..MAX_ACCOUNT_PERCENT
+private const val MIN_ACCOUNT_PERCENT = 10
+private const val MAX_ACCOUNT_PERCENT = 80
 private const val MIN_CONNECTIONS = 20
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/ReadPause.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/ReadPause.kt
@@ -3,8 +3,8 @@
 import io.netty.channel.ChannelHandlerContext
 
 /**
- * Stops reading from a connection, so that its client has to wait. The HTTP server pauses and resumes the reading of the
- * same connection for reasons of its own; both must agree before it is read. Runs on the connection's event loop.
+ * Stops reading from a connection, so that its client has to wait. The HTTP server pauses and resumes the reading of
+ * the same connection for reasons of its own; both must agree before it is read. Runs on the connection's event loop.
  */
 internal class ReadPause {
     private var wanted = false
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Refusals.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Refusals.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-/** Counts refusals by server and reason; logs at most one line a second for each, with the number since the last one. */
+/** Counts refusals by server and reason; logs at most one line a second for each, with the number since then. */
 internal class Refusals(private val clock: Clock) {
     private class Count {
         val total = AtomicLong()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.util.ByteProcessor
 
 /**
  * Passes the bytes of a connection to the HTTP codec one request at a time, each part once there is memory for what it
@@ -33,8 +32,7 @@
     enum class Phase { HEAD, BODY, RESPONSE, REFUSED }
 
     private var pending: ByteBuf = Unpooled.EMPTY_BUFFER
-    private var scannedBytes = 0
-    private var emptyLineBytes = 0
+    private val scanner = HeadScanner(limits.maxHeadBytes)
     private var framing: BodyFraming? = null
 
     /** Bytes of [pending] that are known to belong to the body, and the content among them. */
@@ -115,34 +113,24 @@
         }
 
     private fun readHead(): Boolean {
-        skipEmptyLines()
-        val length = headLength()
-        val refusal =
-            when {
-                emptyLineBytes > MAX_EMPTY_LINE_BYTES -> Refusal.EMPTY_LINES
-                isHttp2() -> Refusal.OTHER_PROTOCOL
-                maxOf(length, scannedBytes) > limits.maxHeadBytes -> Refusal.HEAD_TOO_LARGE
-                else -> null
-            }
-        if (refusal != null) return refuse(refusal)
-        return length > 0 && passHead(length)
+        val length = scanner.lengthOf(pending)
+        val refusal = scanner.refusal(pending, length)
+        if (refusal != null) output.refuse(refusal)
+        return refusal == null && length > 0 && passHead(length)
     }
 
     private fun passHead(length: Int): Boolean {
         val head = RequestHead.read(pending, length)
-        if ((head.contentLength ?: 0) > limits.maxBodyBytes) return refuse(Refusal.BODY_TOO_LARGE)
-        if (!hold(IntakeClass.HEADS, REQUEST_BYTES + length + head.lines * LINE_BYTES)) return false
+        val tooLarge = (head.contentLength ?: 0) > limits.maxBodyBytes
+        if (tooLarge) output.refuse(Refusal.BODY_TOO_LARGE)
+        if (tooLarge || !hold(IntakeClass.HEADS, REQUEST_BYTES + length + head.lines * LINE_BYTES)) return false
         framing = bodyFramingOf(head)
         phase = if (framing == null) Phase.RESPONSE else Phase.BODY
-        scannedBytes = 0
-        emptyLineBytes = 0
-        val start = pending.readerIndex()
-        if (head.upgrade.isEmpty()) {
-            output.pass(pending.readRetainedSlice(length))
-        } else {
-            output.pass(without(head.upgrade, start, start + length))
-            pending.readerIndex(start + length)
-        }
+        scanner.reset()
+        val bytes = if (head.upgrade.isEmpty()) pending.retainedSlice(pending.readerIndex(), length) else null
+        val passed = bytes ?: pending.without(head.upgrade, length)
+        pending.skipBytes(length)
+        output.pass(passed)
         return true
     }
 
@@ -152,16 +140,20 @@
         val end = body.advance(pending, pending.readerIndex() + bodyBytes)
         bodyBytes = end - pending.readerIndex()
         wantedBytes += body.contentBytes - before
-        if (body.contentBytes > limits.maxBodyBytes) return refuse(Refusal.BODY_TOO_LARGE)
+        val tooLarge = body.contentBytes > limits.maxBodyBytes
+        if (tooLarge) output.refuse(Refusal.BODY_TOO_LARGE)
         // After its response, what is left of a body is discarded.
-        val held = bodyBytes > 0 && (responseEnded || hold(IntakeClass.BODIES, wantedBytes))
-        if (!held) return false
+        val held = !tooLarge && bodyBytes > 0 && (responseEnded || hold(IntakeClass.BODIES, wantedBytes))
+        if (held) passBodyBytes(body.ended)
+        return held && body.ended
+    }
+
+    private fun passBodyBytes(last: Boolean) {
         val part = pending.readRetainedSlice(bodyBytes)
         bodyBytes = 0
         wantedBytes = 0
-        if (body.ended) phase = Phase.RESPONSE
+        if (last) phase = Phase.RESPONSE
         output.pass(part)
-        return body.ended
     }
 
     private fun nextRequest() {
@@ -181,61 +173,23 @@
         return !waiting
     }
 
-    private fun refuse(refusal: Refusal): Boolean {
-        output.refuse(refusal)
-        return false
-    }
-
-    private fun skipEmptyLines() {
-        val first = pending.forEachByte(ByteProcessor.FIND_NON_CRLF)
-        val end = if (first < 0) pending.writerIndex() else first
-        if (scannedBytes > 0 || end == pending.readerIndex()) return
-        emptyLineBytes += end - pending.readerIndex()
-        pending.readerIndex(end)
-    }
-
-    /** Length of the head, with the empty line at its end; 0 if that has not arrived. */
-    private fun headLength(): Int {
-        var lineStart = pending.readerIndex() + scannedBytes
-        while (true) {
-            val newline = pending.forEachByte(lineStart, pending.writerIndex() - lineStart, ByteProcessor.FIND_LF)
-            if (newline < 0) break
-            val length = newline + 1 - pending.readerIndex()
-            val line = newline - lineStart
-            if (line == 0 || line == 1 && pending.getByte(lineStart) == CARRIAGE_RETURN) return length
-            lineStart = newline + 1
-        }
-        scannedBytes = lineStart - pending.readerIndex()
-        if (pending.readableBytes() > limits.maxHeadBytes) scannedBytes = pending.readableBytes()
-        return 0
-    }
-
-    private fun isHttp2(): Boolean =
-        pending.readableBytes() >= HTTP2_PREFACE.size &&
-            HTTP2_PREFACE.indices.all { pending.getByte(pending.readerIndex() + it) == HTTP2_PREFACE[it] }
-
-    private fun without(
-        ranges: List<IntRange>,
-        start: Int,
-        end: Int,
-    ): ByteBuf {
-        val kept = Unpooled.buffer(end - start)
-        var from = start
-        ranges.forEach {
-            kept.writeBytes(pending, from, it.first - from)
-            from = it.last + 1
-        }
-        return kept.writeBytes(pending, from, end - from)
-    }
-
     private companion object {
-        /** Clients send one empty line at most after a body; RFC 9112, 2.2. */
-        private const val MAX_EMPTY_LINE_BYTES = 1_024
-
         /** Objects of the HTTP server for a request, and for each line of its head, estimated from their fields. */
         private const val REQUEST_BYTES = 8_192L
         private const val LINE_BYTES = 512L
-        private const val CARRIAGE_RETURN = '\r'.code.toByte()
-        private val HTTP2_PREFACE = "PRI ".toByteArray()
     }
 }
+
+/** A copy of the first [length] readable bytes but for those in [ranges]. */
+private fun ByteBuf.without(
+    ranges: List<IntRange>,
+    length: Int,
+): ByteBuf {
+    val kept = Unpooled.buffer(length)
+    var from = readerIndex()
+    ranges.forEach {
+        kept.writeBytes(this, from, it.first - from)
+        from = it.last + 1
+    }
+    return kept.writeBytes(this, from, readerIndex() + length - from)
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestHead.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestHead.kt
@@ -4,9 +4,9 @@
 import io.netty.util.ByteProcessor
 
 /**
- * What the head of a request tells about its length, read before the HTTP codec sees it. [contentLength] is null without
- * a body of known length, and [UNCLEAR] if the codec will refuse it. [upgrade] are the ranges of the lines that ask for
- * another protocol.
+ * What the head of a request tells about its length, read before the HTTP codec sees it. [contentLength] is null
+ * without a body of known length, and [UNCLEAR] if the codec will refuse it. [upgrade] are the ranges of the lines that
+ * ask for another protocol.
  */
 internal class RequestHead(
     val lines: Int,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/ResponseTracker.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/ResponseTracker.kt
@@ -11,8 +11,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 
 /**
- * Follows the responses of a connection, above the HTTP codec: what the client has not read of them is part of [memory],
- * and [onEnd] is called once it has read one. Runs on the connection's event loop.
+ * Follows the responses of a connection, above the HTTP codec: what the client has not read of them is part of
+ * [memory], and [onEnd] is called once it has read one. Runs on the connection's event loop.
  */
 internal class ResponseTracker(
     private val memory: HeldMemory,
