--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -166,6 +166,7 @@
             metrics = metrics,
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
             starts = usage?.recorder ?: StartRecorder.NONE,
+            account = drivers.account,
         )
 
     /** Sends requests to targets for peers that can't reach them. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -3,6 +3,8 @@
 import bergamotwall.decisions.crashes.CrashLimits
 import bergamotwall.gateway.batches.BatchSettings
 import bergamotwall.gateway.forwarding.ForwardLimits
+import bergamotwall.gateway.intake.IntakeSettings
+import bergamotwall.gateway.intake.validateIntakeSettings
 import bergamotwall.gateway.relays.RelaySettings
 import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.usage.UsageSettings
@@ -59,6 +61,7 @@
     val workspaces: WorkspaceSettings = WorkspaceSettings(),
     /** Reports on usage; null to disable. */
     val usage: UsageSettings? = null,
+    val intake: IntakeSettings = IntakeSettings(),
 ) {
     /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
     internal val settleMillis: Long get() = leaveMillis * SETTLE_PERCENT / PERCENT
@@ -161,6 +164,7 @@
     check(settings.logLevel in LOG_LEVELS, "logLevel", "is unknown", "use one of $LOG_LEVELS")
     check(settings.leaveMillis >= 0 && settings.finishMillis >= 0, "leaveMillis", "is negative", "use 6500")
     check(settings.addressTtlSeconds >= 1, "addressTtlSeconds", "is below 1", "use 1 or more")
+    problems += validateIntakeSettings(settings.intake, source)
     check(settings.batches.endMillis >= MIN_END_MILLIS, "batches.endMillis", "is below $MIN_END_MILLIS", "use 3000")
     check(settings.forward.hedging?.valid != false, "forward.hedging", "is out of range", "use {} for the defaults")
     settings.usage?.let { usage ->
