--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -129,7 +129,11 @@
             val owned = ownedBatches.find(batch)
             if (owned != null) return@withContext ownedBatches.end(owned)
             val response = remoteBatches.requestFromOwner(batch, EndBatch(batch), settings.acceptMillis)
-            if (response == Done) EndOutcome.Ended else remoteBatches.end(batch, newRetrySchedule())
+            if (response == Done) {
+                EndOutcome.Ended
+            } else {
+                remoteBatches.end(batch, dependencies.newRetrySchedule(settings.acceptMillis))
+            }
         }
 
     /** Returns the response to [message] of another process, or null if the message is not about batches. */
@@ -158,11 +162,7 @@
             localSubmissions.awaitCompletion()
             ownedBatches.active.forEach { ownedBatches.relinquish(it, "this process releases its batches") }
         }
-
-    private fun newRetrySchedule() =
-        RetrySchedule(
-            dependencies.shared.clock,
-            dependencies.shared.random,
-            dependencies.shared.clock.monotonicMillis() + settings.acceptMillis,
-        )
 }
+
+private fun BatchDependencies.newRetrySchedule(timeoutMillis: Long) =
+    RetrySchedule(shared.clock, shared.random, shared.clock.monotonicMillis() + timeoutMillis)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetProtocol.kt
@@ -27,7 +27,8 @@
  * A request to a target. [deadlineMillis] is the time that it may still take, or null for no limit. [resumeAfter] is
  * the id of the last event received; the response continues after it. [repeatable]: the request may run more than once.
  * The sender gives up if nothing arrives for [maxSilenceMillis]. [workspace] is the one for which the request is sent,
- * null if there is none. [removesKey]: fields of [headers] that may hold a caller's key or name a workspace are left out.
+ * null if there is none. [removesKey]: fields of [headers] that may hold a caller's key or name a workspace are left
+ * out.
  */
 public data class TargetCall(
     public val requestId: String,
--- a/gateway/src/test/kotlin/bergamotwall/gateway/golden/GoldenRecordsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/golden/GoldenRecordsTest.kt
@@ -8,8 +8,8 @@
 
 /**
  * Records as earlier builds wrote them are read, and new ones are written in the format of the newest. Folders of
- * `golden` are named for the commits that wrote their files, or for what they added to those of the folder before. A change of a format needs a new folder, and a line in
- * the changelog: two builds run side by side during an upgrade.
+ * `golden` are named for the commits that wrote their files, or for what they add to those of the folder before. A
+ * change of a format needs a new folder, and a line in the changelog: two builds run side by side during an upgrade.
  */
 internal class GoldenRecordsTest {
     @ParameterizedTest(name = "{0} of {1}")
@@ -57,6 +57,7 @@
         fun records(): List<GoldenRecord<*>> = GOLDEN_RECORDS
 
         @JvmStatic
-        fun cases(): List<Array<Any>> = GOLDEN_RECORDS.flatMap { record -> foldersOf(record).map { arrayOf(record, it) } }
+        fun cases(): List<Array<Any>> =
+            GOLDEN_RECORDS.flatMap { record -> foldersOf(record).map { arrayOf(record, it) } }
     }
 }
