--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemAssignment.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemAssignment.kt
@@ -31,8 +31,8 @@
  * Made for more items than slots, and for training steps that benefit from complete groups only: batches that are due
  * earlier go first, of those due at the same time the ones of higher priority, within a batch the groups in order, and
  * within a group the item with the most expected tokens, as its end decides when the group is complete. An item goes to
- * the target that has its group's prompt cached if a slot is free there, otherwise to the target with the smallest share
- * of its slots in use.
+ * the target that has its group's prompt cached if a slot is free there, otherwise to the target with the smallest
+ * share of its slots in use.
  */
 public fun assignItems(
     waiting: List<WaitingItem>,
