--- a/decisions/src/main/kotlin/bergamotwall/decisions/admission/HedgeDecision.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/admission/HedgeDecision.kt
@@ -45,9 +45,9 @@
  * Decides whether [request] is sent to one of the other [candidates] as well.
  *
  * Made for services of which few responses are slow, for reasons of a single run or target. Hedging must not add to an
- * overload: it uses free slots only and leaves [RESERVE_PERCENT] of a target's slots to first sends, its [budget] bounds
- * the extra load, and where many targets are slow, the estimates of the others rise with their occupancy until they are
- * not faster any more.
+ * overload: it uses free slots only and leaves [RESERVE_PERCENT] of a target's slots to first sends, its [budget]
+ * bounds the extra load, and where many targets are slow, the estimates of the others rise with their occupancy until
+ * they are not faster any more.
  */
 public fun decideHedge(
     request: UnansweredRequest,
@@ -73,8 +73,8 @@
 
 /**
  * How much longer [request] is expected to take where it is: as long as a new one there, or as long as it has waited
- * already. What is left of a request that is already late does not shrink with the time waited: durations have a tail at
- * least as heavy as that of the exponential distribution, or there would be no reason to hedge.
+ * already. What is left of a request that is already late does not shrink with the time waited: durations have a tail
+ * at least as heavy as that of the exponential distribution, or there would be no reason to hedge.
  */
 private fun remainingMillis(request: UnansweredRequest): Double =
     maxOf(request.target?.let { expectedMillis(it) } ?: 0.0, request.waitedMillis.toDouble())
--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemAssignment.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemAssignment.kt
@@ -31,8 +31,8 @@
  * its end decides when the group is complete. An item goes to the target that has its group's prompt cached if a slot
  * is free there, otherwise to the target with the smallest share of its slots in use.
  *
- * If any target reports its slowdown, an item goes to the free slot where it is expected to end first instead, so that a
- * step does not wait for items at the slowest VMs; the cached prompt then decides only between targets that are about
+ * If any target reports its slowdown, an item goes to the free slot where it is expected to end first instead, so that
+ * a step does not wait for items at the slowest VMs; the cached prompt then decides only between targets that are about
  * equally fast at the moment.
  */
 public fun assignItems(
--- a/decisions/src/main/kotlin/bergamotwall/decisions/placement/Slowdown.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/Slowdown.kt
@@ -1,6 +1,7 @@
 package bergamotwall.decisions.placement
 
 import kotlin.math.abs
+import kotlin.math.exp
 
 /**
  * How many times longer than usual work takes at a target: [reported] by its report of [ageMillis] ago, and [typical]
@@ -12,8 +13,8 @@
     val typical: Double = 1.0,
 ) {
     /**
-     * The mean slowdown expected over the next [millis]. The report's weight decays from one to zero within
-     * [WEIGHT_MILLIS] of it, so that it counts fully for a short request and little for a generation of some seconds.
+     * The mean slowdown expected over the next [millis]. The report's weight decays exponentially with
+     * its age, so that it counts fully for a short request and little for a generation of some seconds.
      */
     public fun over(millis: Double): Double {
         val spanMillis = maxOf(1.0, millis)
@@ -22,13 +23,16 @@
     }
 
     internal companion object {
-        /** Slowdowns change several times a second, so that older reports tell nothing. */
-        private const val WEIGHT_MILLIS = 1_000.0
+        /**
+         * The weight is 0.36 after this time, and none is left after a second. Of 100, 200 and 400 ms, 100 was best for
+         * slowdowns that change eight times a second, and 200 for four times.
+         */
+        private const val DECAY_MILLIS = 150.0
 
         /** The sum of a report's weights over the [distanceMillis] after it (or before it, if negative). */
         fun weightMillis(distanceMillis: Double): Double {
-            val distance = distanceMillis.coerceIn(-WEIGHT_MILLIS, WEIGHT_MILLIS)
-            return distance - distance * abs(distance) / (2 * WEIGHT_MILLIS)
+            val sum = DECAY_MILLIS * (1 - exp(-abs(distanceMillis) / DECAY_MILLIS))
+            return if (distanceMillis < 0) -sum else sum
         }
     }
 }
--- a/decisions/src/main/kotlin/bergamotwall/decisions/placement/TargetSpeed.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/TargetSpeed.kt
@@ -4,9 +4,9 @@
  * The speed of a target that reports its slowdown: [usualMillis] is the smoothed duration of a request there, and
  * [tokenMillis] that of a token of an item, both at the usual speed; 0 if not known. Immutable.
  *
- * Made for targets with lasting differences in speed (0.7 to 1.7) on VMs whose momentary slowdown (1 to 4) changes many
- * times a second: durations are divided by the slowdown that applied while they ran, so that smoothing keeps the lasting
- * differences only. Without reports of a slowdown, nothing is learned.
+ * Made for targets with lasting differences in speed (0.7 to 1.7) on VMs whose momentary slowdown (1 to 4) changes
+ * many times a second: durations are divided by the slowdown that applied while they ran, so that smoothing keeps the
+ * lasting differences only. Without reports of a slowdown, nothing is learned.
  */
 public data class TargetSpeed(
     private val reports: SlowdownReports? = null,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -42,8 +42,8 @@
             when (outcome) {
                 ItemOutcome.Whole -> {
                     val endedAtMillis = dependencies.clock.monotonicMillis()
-                    load.succeeded(sentAtMillis, endedAtMillis)
-                    load.generated(item.eventCount - eventsBefore, sentAtMillis, endedAtMillis)
+                    load.latency.succeeded(sentAtMillis, endedAtMillis)
+                    load.latency.generated(item.eventCount - eventsBefore, sentAtMillis, endedAtMillis)
                 }
                 is ItemOutcome.Broken -> load.failed(dependencies.clock.monotonicMillis())
                 is ItemOutcome.NotRun -> load.notRun(dependencies.clock.monotonicMillis(), outcome.full)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -51,7 +51,7 @@
         try {
             val outcome = receive(exchange, Attempt(target, call.requestId, stream, sentAtMillis))
             when (outcome) {
-                is AttemptOutcome.Complete -> load.succeeded(sentAtMillis, dependencies.clock.monotonicMillis())
+                is AttemptOutcome.Complete -> load.latency.succeeded(sentAtMillis, dependencies.clock.monotonicMillis())
                 is AttemptOutcome.StreamStarted -> streaming = true
                 is AttemptOutcome.NotRun -> load.notRun(dependencies.clock.monotonicMillis(), outcome.full)
                 is AttemptOutcome.Broken -> load.failed(dependencies.clock.monotonicMillis())
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -119,8 +119,6 @@
             }
         }
 
-        fun notRun(reason: String): ForwardOutcome = ForwardOutcome.NotRun(reason, limits.retryAfterMillis)
-
         fun record(outcome: ForwardOutcome) {
             val tookMillis = dependencies.clock.monotonicMillis() - startedAtMillis
             dependencies.metrics.requestEnded(route.name, outcome, tookMillis)
@@ -144,32 +142,18 @@
             val hedge = request.purpose == SendPurpose.REQUEST &&
                 route.retryable && tried.size < route.maxAttempts && guarded.mayHedge
             val boundMillis = route.targetLatencyMillis * limits.hedgePercent / PERCENT
-            hedges?.takeIf { hedge }?.let { return nextOutcomeOrHedge(scope, it, boundMillis) }
+            hedges?.takeIf { hedge }?.let { hedges ->
+                return hedges.next(outcomes, boundMillis) {
+                    val allowed = guarded.mayHedge && guarded.mayRun
+                    val target = if (allowed) hedges.choose(usable(service, placement)) else null
+                    target?.let { launch(it, scope) } != null
+                }
+            }
             val waitMillis = if (hedge) boundMillis else Long.MAX_VALUE
             val outcome = outcomes.next(waitMillis)
             return if (outcome == null && !launchNext(scope)) outcomes.next() else outcome
         }
 
-        /** As [nextOutcome]. A hedge that is withheld is considered again later, at growing intervals. */
-        private suspend fun nextOutcomeOrHedge(
-            scope: CoroutineScope,
-            hedges: RequestHedging,
-            boundMillis: Long,
-        ): AttemptOutcome? {
-            var waitMillis = hedges.delayMillis(boundMillis)
-            var outcome = outcomes.next(waitMillis)
-            while (outcome == null) {
-                val target = if (guarded.mayHedge && guarded.mayRun) hedges.choose(usable(service, placement)) else null
-                if (target != null) {
-                    launch(target, scope)
-                    return null
-                }
-                waitMillis *= 2
-                outcome = outcomes.next(waitMillis)
-            }
-            return outcome
-        }
-
         private suspend fun handleOutcome(
             outcome: AttemptOutcome,
             scope: CoroutineScope,
@@ -248,6 +232,8 @@
         }
     }
 
+    private fun notRun(reason: String): ForwardOutcome = ForwardOutcome.NotRun(reason, limits.retryAfterMillis)
+
     /** The outcome of a request for which no target of [service] may be used now. */
     private fun noTarget(service: ServiceName): ForwardOutcome {
         val waitMillis = dependencies.limits.waitMillis(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/RequestHedging.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/RequestHedging.kt
@@ -4,6 +4,7 @@
 import bergamotwall.decisions.admission.UnansweredRequest
 import bergamotwall.decisions.admission.WithheldHedge
 import bergamotwall.decisions.admission.decideHedge
+import bergamotwall.gateway.concurrent.PendingResults
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
@@ -25,8 +26,26 @@
     private var hedge: Target? = null
     private var lastReason: WithheldHedge? = null
 
-    /** How long to wait for a response before the request is hedged, at most [boundMillis]. */
-    fun delayMillis(boundMillis: Long): Long {
+    /**
+     * The next of the [outcomes], or null if the hedging delay of at most [boundMillis] passed first and [hedge] has sent
+     * the request to another target. If it has not, it is called again later, at growing intervals.
+     */
+    suspend fun next(
+        outcomes: PendingResults<AttemptOutcome>,
+        boundMillis: Long,
+        hedge: () -> Boolean,
+    ): AttemptOutcome? {
+        var waitMillis = delayMillis(boundMillis)
+        var outcome = outcomes.next(waitMillis)
+        while (outcome == null && !hedge()) {
+            waitMillis *= 2
+            outcome = outcomes.next(waitMillis)
+        }
+        return outcome
+    }
+
+    /** How long to wait for a response before the request is hedged. */
+    private fun delayMillis(boundMillis: Long): Long {
         val nowMillis = dependencies.clock.monotonicMillis()
         val percentileMillis = service.durations.percentileMillis(hedging.settings.percentile, nowMillis)
         val sentMillis = nowMillis - lastSentAtMillis
@@ -92,7 +111,9 @@
         if (outcome !is ForwardOutcome.Completed) return
         val nowMillis = dependencies.clock.monotonicMillis()
         firstSentAtMillis?.takeIf { undisturbed }?.let { service.durations.record(nowMillis - it, nowMillis) }
-        running.forEach { (target, sentAtMillis) -> dependencies.loads.of(target).outlasted(sentAtMillis, nowMillis) }
+        running.forEach { (target, sentAtMillis) -> dependencies.loads.of(
+            target
+        ).latency.outlasted(sentAtMillis, nowMillis) }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -1,12 +1,9 @@
 package bergamotwall.gateway.targets
 
 import bergamotwall.decisions.placement.CandidateTarget
-import bergamotwall.decisions.placement.TargetSpeed
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
-import java.util.concurrent.atomic.AtomicReference
-import kotlin.math.roundToLong
 
 /** Load and health of one target as observed by this process through its own requests. Thread-safe. */
 public class TargetLoad {
@@ -15,14 +12,15 @@
     private val otherRequestsAtMillis = AtomicLong()
     private val failures = AtomicInteger()
     private val backoffUntilMillis = AtomicLong()
-    private val latencyMillis = AtomicLong()
     private val probing = AtomicBoolean()
-    private val speed = AtomicReference(TargetSpeed())
     private val unreadableLoad = AtomicBoolean()
 
     /** The target's limit on requests of all processes. */
     public val limit: TargetLimit = TargetLimit()
 
+    /** How long requests take at the target. */
+    public val latency: TargetLatency = TargetLatency()
+
     /** Requests of this process in flight at the target. */
     public val ownRequests: Int get() = outstanding.get()
 
@@ -47,7 +45,7 @@
     ) {
         otherRequests.set((load.running + load.waiting - outstanding.get()).coerceAtLeast(0))
         otherRequestsAtMillis.set(nowMillis)
-        speed.updateAndGet { it.reported(load.slowdownPercent, nowMillis) }
+        latency.reported(load.slowdownPercent, nowMillis)
     }
 
     /** Whether this is the first load report of the target that can't be read. */
@@ -60,37 +58,6 @@
         backoffUntilMillis.set(0)
     }
 
-    /** Records a complete response, received at [nowMillis], to a request sent at [sentAtMillis]. */
-    public fun succeeded(
-        sentAtMillis: Long,
-        nowMillis: Long,
-    ) {
-        val millis = nowMillis - sentAtMillis
-        latencyMillis.updateAndGet { old -> if (old == 0L) millis else old + (millis - old) / LATENCY_SMOOTHING }
-        speed.updateAndGet { it.completed(sentAtMillis, nowMillis) }
-    }
-
-    /**
-     * Records that a request sent at [sentAtMillis] was cancelled at [nowMillis], because another target had responded.
-     */
-    public fun outlasted(
-        sentAtMillis: Long,
-        nowMillis: Long,
-    ) {
-        val millis = nowMillis - sentAtMillis
-        latencyMillis.updateAndGet { old -> if (old in 1 until millis) old + (millis - old) / LATENCY_SMOOTHING else old }
-        speed.updateAndGet { it.outlasted(sentAtMillis, nowMillis) }
-    }
-
-    /** Records [tokens] of an item that were generated from [sentAtMillis] to [nowMillis]. */
-    public fun generated(
-        tokens: Int,
-        sentAtMillis: Long,
-        nowMillis: Long,
-    ) {
-        speed.updateAndGet { it.generated(tokens, sentAtMillis, nowMillis) }
-    }
-
     /** Records at [nowMillis] that the target is full or loading weights; a single request probes it again shortly. */
     public fun refused(nowMillis: Long) {
         probing.set(true)
@@ -129,26 +96,18 @@
         val otherRequestsNow =
             if (nowMillis - otherRequestsAtMillis.get() < OTHER_REQUESTS_VALID_MILLIS) otherRequests.get() else 0
         val running = outstanding.get() + otherRequestsNow
-        val speedNow = speed.get()
-        val slowdown = speedNow.slowdownAt(nowMillis)
-        return CandidateTarget(
-            id = target.id,
-            slots = if (probing.get()) minOf(target.slots, running + 1) else target.slots,
-            running = running,
-            local = local,
-            available = nowMillis >= backoffUntilMillis.get(),
-            latencyMillis = if (slowdown == null) latencyMillis.get() else speedNow.usualMillis.roundToLong(),
-            slowdown = slowdown,
-            tokenMillis = if (slowdown == null) 0.0 else speedNow.tokenMillis,
-        )
+        val candidate =
+            CandidateTarget(
+                id = target.id,
+                slots = if (probing.get()) minOf(target.slots, running + 1) else target.slots,
+                running = running,
+                local = local,
+                available = nowMillis >= backoffUntilMillis.get(),
+            )
+        return latency.applyTo(candidate, nowMillis)
     }
 
     private companion object {
-        /**
-         * Inverse weight of a new latency in the moving average: a slow period has no effect after some ten responses.
-         */
-        private const val LATENCY_SMOOTHING = 4
-
         /**
          * Loading weights takes about a second and freeing a slot less, so at most a sixth of that time is lost before
          * the next probe.
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/SimulatedTargets.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/SimulatedTargets.kt
@@ -20,8 +20,8 @@
 import kotlin.math.roundToInt
 
 /**
- * Targets in virtual time. [workMillis] gives the duration of a run at the address, started at the time; [slowdown], how
- * many times longer it takes at a time. A report names the slowdown if [reportSlowdown].
+ * Targets in virtual time. [workMillis] gives the duration of a run at the address, started at the time; [slowdown],
+ * how many times longer it takes at a time. A report names the slowdown if [reportSlowdown].
  */
 internal class SimulatedTargets(
     private val clock: Clock,
