Describe shared watches for operators and upgrades; split their functions

SharedWatches exceeded the number of functions a class may have; polls of the service and the waits have classes of their own.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/FollowerServer.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/FollowerServer.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.news
 
+import bergamotwall.drivers.KeyValueChanges
 import bergamotwall.gateway.store.messageOf
 import bergamotwall.model.FollowChanges
 import bergamotwall.model.FollowList
@@ -48,7 +49,13 @@
         if (waitMillis > 0 && before.content?.changes?.isEmpty() == true) {
             withTimeoutOrNull(waitMillis) { copy.version.first { it != version } }
         }
-        val served = copy.servedSince(message.after) ?: return null
+        return copy.servedSince(message.after)?.let { responseOf(it, received) }
+    }
+
+    private fun responseOf(
+        served: Served<KeyValueChanges?>,
+        received: ClockReading,
+    ): PeerMessage {
         val changes = served.content ?: return historyGone
         // Read after the copy, so that the age is not too low however long the process was paused before.
         val now = clock.read()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
@@ -98,7 +98,7 @@
         /** Several times the pauses and partitions that pass by themselves in a moment. */
         private const val FIRST_AVOID_MILLIS = 2_000L
 
-        /** A follower that can't be reached for long, or is of a build without shared watches, costs a call a minute. */
+        /** A follower that can't be reached for long, or does not know the messages, costs a call a minute. */
         private const val MAX_AVOID_MILLIS = 60_000L
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatchDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatchDependencies.kt
@@ -11,7 +11,7 @@
 import bergamotwall.runtime.Clock
 
 /** What the shared watches of process [self] work with. [store] and [feed] are the key-value service itself. */
-internal class SharedWatchDependencies(
+internal data class SharedWatchDependencies(
     val self: NodeId,
     val dataCentre: DataCentre,
     val members: () -> MemberList,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
@@ -1,6 +1,5 @@
 package bergamotwall.gateway.news
 
-import bergamotwall.decisions.membership.provenAfterMillis
 import bergamotwall.drivers.ChangeFeed
 import bergamotwall.drivers.KeyValueChanges
 import bergamotwall.drivers.KeyValueError
@@ -37,11 +36,13 @@
     private val clock = dependencies.clock
     private val roles =
         WatchRoles(dependencies.self, dependencies.dataCentre, dependencies.members, settings.sharedFromMembers)
+    private val timing = SharedWatchTiming(settings.sharedAgeMillis)
     private val client =
         FollowerClient(dependencies.peers, clock, settings.sharedMarginMillis, settings.sharedAgeMillis)
     private val watches = ConcurrentHashMap<String, SharedWatch>()
     private val server = FollowerServer({ watches[it]?.copy }, clock, settings.sharedAgeMillis)
     private val metrics = SharedWatchMetrics(dependencies.metrics, { roles.current() }, { watches.values })
+    private val servicePolls = ServicePolls(dependencies.feed, clock, metrics)
     private val failures =
         dependencies.metrics.counter("follower_failures", "Responses of followers not used, by reason.", "reason")
 
@@ -84,7 +85,7 @@
         val watch = watchOf(prefix)
         val request = FollowChanges(prefix, afterRevision, waitMillis)
         return when (roles.current()) {
-            is WatchRole.Alone -> poll(watch, request).map { it.content }
+            is WatchRole.Alone -> servicePolls.poll(watch, request).map { it.content }
             is WatchRole.Follower -> follow(watch, request)
             is WatchRole.Reader -> read(watch, request)
         }
@@ -100,9 +101,8 @@
     ): Result<KeyValueChanges, KeyValueError> {
         val proof = watch.copy.directProof ?: return Err(notListed)
         val started = clock.read()
-        val longestMillis = readerWaitMillis(request.waitMillis) * FOLLOWER_WAIT_PERCENT / PERCENT
-        val waitMillis = (longestMillis - proof.millisUntil(started)).coerceAtLeast(MIN_WAIT_MILLIS)
-        return poll(watch, request.copy(waitMillis = minOf(request.waitMillis, waitMillis)))
+        val waitMillis = timing.followerWaitMillis(request.waitMillis, proof.millisUntil(started))
+        return servicePolls.poll(watch, request.copy(waitMillis = waitMillis))
             .map { it.content.copy(provenAfterMillis = started.provenMillisUntil(it.proof)) }
     }
 
@@ -112,44 +112,28 @@
     ): Result<KeyValueChanges, KeyValueError> {
         val started = clock.read()
         val followers = followersFor(watch)
-        for (follower in followers) {
-            val waitMillis = if (watch.trusts(follower)) watch.longPollMillis(request.waitMillis) else 0
-            val response = client.changes(follower, request.copy(waitMillis = waitMillis), watch.copy)
-            if (watch.mustList(request.after, response)) return Err(historyGone)
-            val followed = usedResponse(watch, follower, response) ?: continue
-            watch.copy.changed(request.after, followed.content, null)
-            if (waitMillis > 0 && followed.content.changes.isEmpty()) awaitShortestPoll(started)
-            return Ok(followed.content.copy(provenAfterMillis = started.provenMillisUntil(followed.proof)))
-        }
+        val response = followers.firstNotNullOfOrNull { ask(watch, it, request, started) }
         // After a failure the service is asked without a wait, as changes since the last response may be overdue.
         val waitMillis = if (followers.isEmpty()) request.waitMillis else 0
-        return poll(watch, request.copy(waitMillis = waitMillis))
+        return (response ?: servicePolls.poll(watch, request.copy(waitMillis = waitMillis)))
             .map { it.content.copy(provenAfterMillis = started.provenMillisUntil(it.proof)) }
     }
 
-    /** Polls the service itself and records its response in the copy. */
-    private suspend fun poll(
+    /** The response of [follower] that the reader goes on with, or null if it must ask elsewhere. */
+    private suspend fun ask(
         watch: SharedWatch,
+        follower: GatewayMember,
         request: FollowChanges,
-    ): Result<Followed<KeyValueChanges>, KeyValueError> {
-        watch.bypassed()
-        metrics.polledService()
-        val sent = clock.read()
-        return dependencies.feed.changes(request.prefix, request.after, request.waitMillis).map { changes ->
-            val received = clock.read()
-            val provenMillis =
-                provenAfterMillis(
-                    ageMillis = 0,
-                    // A response with changes may have been sent at any time since the request.
-                    waitedMillis = if (changes.changes.isEmpty()) request.waitMillis else 0,
-                    longestWaitMillis = request.waitMillis,
-                    elapsedMillis = received.monotonicMillis - sent.monotonicMillis,
-                    suspendedMillis = sent.suspendedMillisUntil(received),
-                )
-            val proof = sent.plus(provenMillis)
-            watch.proven(proof)
-            watch.copy.changed(request.after, changes, proof)
-            Followed(changes, proof)
+        started: ClockReading,
+    ): Result<Followed<KeyValueChanges>, KeyValueError>? {
+        val longestMillis = timing.longPollMillis(request.waitMillis, watch.proofAgeMillis())
+        val waitMillis = if (watch.trusts(follower)) longestMillis else 0
+        val response = client.changes(follower, request.copy(waitMillis = waitMillis), watch.copy)
+        if (watch.mustList(request.after, response)) return Err(historyGone)
+        return usedResponse(watch, follower, response)?.let { followed ->
+            watch.copy.changed(request.after, followed.content, null)
+            if (waitMillis > 0 && followed.content.changes.isEmpty()) awaitShortestPoll(started)
+            Ok(followed)
         }
     }
 
@@ -175,38 +159,10 @@
 
     /** A follower responds early to each new proof; one that always does so must not keep this process busy. */
     private suspend fun awaitShortestPoll(started: ClockReading) {
-        delay(MIN_WAIT_MILLIS - (clock.monotonicMillis() - started.monotonicMillis))
-    }
-
-    /** A follower that falls silent is given up before the latest proof is much older than a proof may be. */
-    private fun SharedWatch.longPollMillis(usualMillis: Long): Long {
-        val remainingMillis = settings.sharedAgeMillis - PROOF_MARGIN_MILLIS - proofAgeMillis()
-        return minOf(usualMillis, remainingMillis.coerceIn(MIN_WAIT_MILLIS, readerWaitMillis(usualMillis)))
+        delay(SharedWatchTiming.MIN_WAIT_MILLIS - (clock.monotonicMillis() - started.monotonicMillis))
     }
 
-    /** How long a follower may hold back a poll that the service would be asked to hold back for [usualMillis]. */
-    private fun readerWaitMillis(usualMillis: Long): Long =
-        minOf(usualMillis * READER_WAIT_PERCENT / PERCENT, settings.sharedAgeMillis - AGE_MARGIN_MILLIS)
-            .coerceAtLeast(MIN_WAIT_MILLIS)
-
     private companion object {
-        private const val PERCENT = 100
-
-        /**
-         * A silent follower is noticed, and the other one and the service asked, in the time in which a poll of the
-         * service itself would fail.
-         */
-        private const val READER_WAIT_PERCENT = 66
-
-        /** Shorter than the readers' polls, so that each of these ends with a new proof. */
-        private const val FOLLOWER_WAIT_PERCENT = 80
-
-        /** Time for asking the other follower and the service after a follower fell silent. */
-        private const val PROOF_MARGIN_MILLIS = 200L
-
-        /** For the calls of the follower itself: its proof must not become too old while it waits for the next. */
-        private const val AGE_MARGIN_MILLIS = 100L
-        private const val MIN_WAIT_MILLIS = 20L
         private const val READER_PAUSE_MILLIS = 5L
 
         /** Two followers a data centre then make fewer calls in a burst of changes than all processes did before. */
