--- a/decisions/src/test/kotlin/bergamotwall/decisions/duties/ClocksTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/duties/ClocksTest.kt
@@ -26,7 +26,11 @@
     @Test
     fun `a delayed message does not change the offset`() {
         val offset = ClockOffset(periodMillis = 1_000)
-        listOf(0L to 100L, 500L to 2_900L, 3_000L to 3_110L).forEach { (sent, received) -> offset.observe(sent, received) }
+        listOf(
+            0L to 100L,
+            500L to 2_900L,
+            3_000L to 3_110L
+        ).forEach { (sent, received) -> offset.observe(sent, received) }
         expectThat(offset.millis).isEqualTo(100)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/duties/LeaderTerm.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/duties/LeaderTerm.kt
@@ -53,19 +53,22 @@
         val mayAcquire = eligible && hasPaths && nowMillis >= abstainUntilMillis
         if (leadership.holding == null && !mayAcquire) return TermPhase.NOT_COMPETING
         val leaves = leadership.holding != null && (cutOff || !hasPaths)
-        if (leaves && orders.settled(timing.pauseMillis)) {
-            Logger.warn("event=leadership_given_up_without_{}", receivers)
-            abstainUntilMillis = nowMillis + timing.abstainMillis
-            if (orders.allAnswered(timing.abstainMillis)) leadership.resign() else leadership.release()
-        } else {
-            leadership.step()
+        if (leaves && orders.settled(timing.pauseMillis)) giveUp(nowMillis) else leadership.step()
+        return when {
+            leadership.holding == null -> {
+                mayActFromMillis = null
+                cutOff = false
+                TermPhase.NOT_LEADING
+            }
+            !leaves && mayIssueOrders() -> TermPhase.ACTING
+            else -> TermPhase.WAITING
         }
-        if (leadership.holding == null) {
-            mayActFromMillis = null
-            cutOff = false
-            return TermPhase.NOT_LEADING
-        }
-        return if (!leaves && mayIssueOrders()) TermPhase.ACTING else TermPhase.WAITING
+    }
+
+    private suspend fun giveUp(nowMillis: Long) {
+        Logger.warn("event=leadership_given_up_without_{}", receivers)
+        abstainUntilMillis = nowMillis + timing.abstainMillis
+        if (orders.allAnswered(timing.abstainMillis)) leadership.resign() else leadership.release()
     }
 
     /** Whether orders of the previous leader can't arrive any more. No wait is needed if that was this process. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/usage/MirroredStarts.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/usage/MirroredStarts.kt
@@ -7,7 +7,7 @@
 
 /**
  * The starts at the leader itself, which keeps them at one other process: without that, all of them that are not
- * reported yet would be lost with the leader, those of other processes only for a fraction of a second. Not thread-safe.
+ * reported yet would be lost with the leader. Not thread-safe.
  */
 internal class MirroredStarts(private val clock: Clock) {
     private class Mirrored(workspace: String, atMillis: Long, val receivedAtMillis: Long) :
--- a/gateway/src/main/kotlin/bergamotwall/gateway/usage/UsageDriver.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/usage/UsageDriver.kt
@@ -5,10 +5,8 @@
 /** What the reports need from the platform: its [api], and [workspaceOf], null for requests that are not counted. */
 public class UsageDriver(
     public val api: UsageApi,
-    public val workspaceOf: (CallerRequest) -> String? = ::workspaceOf,
+    public val workspaceOf: (CallerRequest) -> String? = accountOf,
 )
 
-/** The workspace to which [request] is accounted; null if it is not counted. */
-public fun workspaceOf(
-    @Suppress("UnusedParameter") request: CallerRequest,
-): String? = null
+/** The workspace to which a request is accounted; null if the request is not counted. */
+public val accountOf: (CallerRequest) -> String? = { null }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/weights/WeightRollout.kt
@@ -22,7 +22,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.tinylog.Logger
 
 /** Dependencies of [WeightRollout]. */
 public data class WeightRolloutDependencies(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/StartsOfAttemptsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/forwarding/StartsOfAttemptsTest.kt
@@ -105,7 +105,10 @@
             "e" -> ResponsePart.End
             "x" -> ResponsePart.Broken("broken", mayHaveRun = true)
             "n" -> ResponsePart.Broken("refused", mayHaveRun = false)
-            else -> ResponsePart.Head(text.take(STATUS_DIGITS).toInt(), emptyList()).also { ScriptedProtocol.head = text }
+            else -> ResponsePart.Head(
+                text.take(STATUS_DIGITS).toInt(),
+                emptyList()
+            ).also { ScriptedProtocol.head = text }
         }
 
     private fun route(kind: RouteKind) =
--- a/gateway/src/test/kotlin/bergamotwall/gateway/usage/FakeUsageApi.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/usage/FakeUsageApi.kt
@@ -25,17 +25,19 @@
         fence: FencingNumber,
         mayAct: () -> Boolean,
     ): UsageOutcome {
-        val mode = mode
         beforeSend(holder)
-        if (!mayAct()) return UsageOutcome.NOT_SENT
-        if (mode == Mode.SILENT) {
-            delay(TIMEOUT_MILLIS)
-            return UsageOutcome.UNKNOWN
+        return if (mayAct()) arrive(Call(nowMillis(), holder, fence.value, report)) else UsageOutcome.NOT_SENT
+    }
+
+    private suspend fun arrive(call: Call): UsageOutcome {
+        val mode = mode
+        if (mode != Mode.SILENT && mode != Mode.LIMIT) arrived += call
+        if (mode != Mode.ACCEPT && mode != Mode.LIMIT) delay(TIMEOUT_MILLIS)
+        return when (mode) {
+            Mode.ACCEPT, Mode.SLOW -> UsageOutcome.ACCEPTED
+            Mode.LIMIT -> UsageOutcome.LIMITED
+            Mode.SILENT, Mode.LOSE_RESPONSE -> UsageOutcome.UNKNOWN
         }
-        if (mode == Mode.LIMIT) return UsageOutcome.LIMITED
-        arrived += Call(nowMillis(), holder, fence.value, report)
-        if (mode == Mode.LOSE_RESPONSE || mode == Mode.SLOW) delay(TIMEOUT_MILLIS)
-        return if (mode == Mode.LOSE_RESPONSE) UsageOutcome.UNKNOWN else UsageOutcome.ACCEPTED
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/usage/UsageRecordsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/usage/UsageRecordsTest.kt
@@ -89,7 +89,9 @@
         store.commit(Transaction(emptyList(), listOf(Write.Delete(GatewayKeys.USAGE_LEADER))))
         val condition = Condition.Absent(GatewayKeys.USAGE_LEADER)
         val put = Write.Put(GatewayKeys.USAGE_LEADER, node)
-        return FencingNumber((store.commit(Transaction(listOf(condition), listOf(put))).get() as TransactionOutcome.Committed).revision)
+        return FencingNumber(
+            (store.commit(Transaction(listOf(condition), listOf(put))).get() as TransactionOutcome.Committed).revision
+        )
     }
 
     private suspend fun put(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/usage/UsageReportingTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/usage/UsageReportingTest.kt
@@ -44,7 +44,9 @@
             expectThat(calls.zipWithNext().filter { (a, b) -> b.fence < a.fence }).isEmpty()
             expectThat(calls.zipWithNext().filter { (a, b) -> b.holder != a.holder && b.atMillis - a.atMillis < PAUSE })
                 .isEmpty()
-            expectThat(calls.groupBy { it.fence }.filterValues { of -> of.map { it.holder }.toSet().size > 1 }).isEmpty()
+            expectThat(
+                calls.groupBy { it.fence }.filterValues { of -> of.map { it.holder }.toSet().size > 1 }
+            ).isEmpty()
             val counts = calls.groupBy({ it.report.window }, { it.report.counts }).mapValues { it.value.toSet() }
             expectThat(counts.filterValues { it.size > 1 }).isEmpty()
             val expected = fleet.started.filterKeys { fleet.windows.dueMillis(it) < fleet.trueMillis() - SLACK }
--- a/peers/src/test/kotlin/bergamotwall/peers/UsageMessagesTest.kt
+++ b/peers/src/test/kotlin/bergamotwall/peers/UsageMessagesTest.kt
@@ -12,7 +12,8 @@
 internal class UsageMessagesTest {
     @Test
     fun `messages about usage are read as they were sent`() {
-        val starts = UsageStarts(NodeId("n"), 7, 3, listOf("v", "w"), listOf(0, 1, 1), listOf(5, 4, 3), 1, 6, 900, 1_000)
+        val starts =
+            UsageStarts(NodeId("n"), 7, 3, listOf("v", "w"), listOf(0, 1, 1), listOf(5, 4, 3), 1, 6, 900, 1_000)
         listOf(starts, starts.copy(pendingAgeMillis = 9, relayed = true, mirrored = true), UsageReceived(6)).forEach {
             val envelope = Envelope(1, false, null, it)
             expectThat(decodeFrame(encodeFrame(envelope)).envelope).isEqualTo(envelope)
