--- a/decisions/src/test/kotlin/bergamotwall/decisions/duties/SequenceMergeTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/duties/SequenceMergeTest.kt
@@ -28,7 +28,8 @@
         next: Long?,
     ) {
         val merge = if (known == null || next == null) null else SequenceMerge(known, next)
-        val (expected, first, count, oldest) = push.split(' ').map { it.toLong() }
-        expectThat(mergeSequence(expected, first, count.toInt(), oldest)).isEqualTo(merge)
+        val numbers = push.split(' ').map { it.toLong() }
+        val (expected, first, count) = numbers
+        expectThat(mergeSequence(expected, first, count.toInt(), oldest = numbers.last())).isEqualTo(merge)
     }
 }
--- a/decisions/src/test/kotlin/bergamotwall/decisions/duties/WindowVerdictTest.kt
+++ b/decisions/src/test/kotlin/bergamotwall/decisions/duties/WindowVerdictTest.kt
@@ -34,7 +34,8 @@
     ) {
         val other = MemberProgress(completeUntilMillis = 200_000, lastStartMillis = null)
         val (sinceMillis, coveredFromMillis) = term.split(' ').map { it.toLong() }
-        val member = progress?.split(' ')?.let { MemberProgress(it[0].toLong(), it[1].toLong()) } ?: MemberProgress(null)
+        val known = progress?.split(' ')?.map { it.toLong() }
+        val member = if (known == null) MemberProgress(null) else MemberProgress(known.first(), known.last())
         val members = listOf(other, member)
         val collected = UsageCollection(sinceMillis, coveredFromMillis, members)
         expectThat(windowVerdict(20, UsageWindows(5_000, 10_000), nowMillis, collected)).isEqualTo(verdict)
