--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
@@ -132,7 +132,10 @@
         if (watch.mustList(request.after, response)) return Err(historyGone)
         return usedResponse(watch, follower, response)?.let { followed ->
             watch.copy.changed(request.after, followed.content, null)
-            if (waitMillis > 0 && followed.content.changes.isEmpty()) awaitShortestPoll(started)
+            if (waitMillis > 0 && followed.content.changes.isEmpty()) {
+                // A follower responds early to each new proof; one that always does so must not keep this process busy.
+                delay(SharedWatchTiming.MIN_WAIT_MILLIS - (clock.monotonicMillis() - started.monotonicMillis))
+            }
             Ok(followed)
         }
     }
@@ -157,11 +160,6 @@
             }.onFailure { watch.failed(follower, it) }
             .get()
 
-    /** A follower responds early to each new proof; one that always does so must not keep this process busy. */
-    private suspend fun awaitShortestPoll(started: ClockReading) {
-        delay(SharedWatchTiming.MIN_WAIT_MILLIS - (clock.monotonicMillis() - started.monotonicMillis))
-    }
-
     private companion object {
         private const val READER_PAUSE_MILLIS = 5L
 
