--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/ClientConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/ClientConnection.kt
@@ -20,10 +20,15 @@
     RequestGate.Output {
     private val memory = HeldMemory(intake.memory)
     private val pause = ReadPause()
-    private val responses = ResponseTracker(memory) { responded() }
+    private val responses =
+        ResponseTracker(memory) {
+            served = true
+            update { gate.responded() }
+            intake.released()
+        }
     private lateinit var context: ChannelHandlerContext
     private lateinit var gate: RequestGate
-    private val timing = ConnectionTiming(intake.settings, intake.nowMillis())
+    private val timing = ConnectionTiming(intake.settings, intake.nowMillis)
     private var codecAdded = false
     private var refused = false
 
@@ -44,19 +49,16 @@
     override val heldBytes: Long
         get() = if (gate.phase == RequestGate.Phase.RESPONSE) responses.unreadBytes else memory.heldBytes
 
-    override val stalledMillis: Long get() = intake.nowMillis() - timing.progressAtMillis
+    override val stalledMillis: Long get() = intake.nowMillis - timing.progressAtMillis
 
     override val waitingMillis: Long?
-        get() = timing.waitingSinceMillis?.let { intake.nowMillis() - timing.startedAtMillis }
+        get() = timing.waitingSinceMillis?.let { intake.nowMillis - timing.startedAtMillis }
 
     /** When the current request began. */
     val startedAtMillis: Long get() = timing.startedAtMillis
 
-    override fun handlerAdded(context: ChannelHandlerContext) {
-        this.context = context
-    }
-
     override fun channelActive(context: ChannelHandlerContext) {
+        this.context = context
         server = intake.serverOf(context.channel())
         gate = RequestGate(memory, intake.limitsOf(this), this)
         intake.opened(this)
@@ -75,7 +77,7 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        timing.progressed(intake.nowMillis())
+        timing.progressed(intake.nowMillis)
         idleSinceMillis = null
         update { gate.received(message as ByteBuf) }
     }
@@ -111,7 +113,7 @@
     override fun refuse(refusal: Refusal) {
         if (refused) return
         refused = true
-        intake.refused(this, refusal)
+        intake.refusals.record(server, refusal)
         intake.waits(this, false)
         val text = refusal.status?.takeIf { !responses.begun && gate.incomplete }?.let { responseOf(it, refusal) }
         gate.stop()
@@ -132,27 +134,21 @@
         }
 
     /** Applies what time has changed: memory that is free now, time limits that have passed. */
-    fun check(): Unit = context.channel().eventLoop().execute { if (isOpen) checkNow() }
+    fun check(): Unit =
+        context.channel().eventLoop().execute {
+            if (isOpen) {
+                val nowMillis = intake.nowMillis
+                responses.progress(context.channel())?.let { timing.progressed(nowMillis) }
+                if (gate.waiting) update { gate.advance() }
+                timing.refusal(gate, responses, nowMillis)?.let { refuse(it) }
+            }
+        }
 
     private val isOpen: Boolean get() = context.channel().isActive
 
-    private fun checkNow() {
-        val nowMillis = intake.nowMillis()
-        responses.progress(context.channel())?.let { timing.progressed(nowMillis) }
-        if (gate.waiting) update { gate.advance() }
-        val refusal = timing.refusal(gate, responses, nowMillis)
-        refusal?.let { refuse(it) }
-    }
-
-    private fun responded() {
-        served = true
-        update { gate.responded() }
-        intake.released()
-    }
-
     private fun update(change: () -> Unit) {
         change()
-        val nowMillis = intake.nowMillis()
+        val nowMillis = intake.nowMillis
         val idle = gate.phase == RequestGate.Phase.HEAD && !gate.hasPending
         if (idle && idleSinceMillis == null) idleSinceMillis = nowMillis
         timing.update(gate, idle, nowMillis)
@@ -161,22 +157,23 @@
         if (full && !refused) pause.begin(context) else pause.end(context)
     }
 
-    private fun responseOf(
-        status: String,
-        refusal: Refusal,
-    ): String {
-        val body = """{"error":"${refusal.detail}"}"""
-        val retry = if (refusal == Refusal.MEMORY) "Retry-After: $RETRY_SECONDS\r\n" else ""
-        val length = "Content-Type: application/json; charset=utf-8\r\nContent-Length: ${body.length}\r\n"
-        return "HTTP/1.1 $status\r\n$length${retry}Connection: close\r\n\r\n$body"
-    }
-
     private companion object {
         /** The server recognises the protocol by so many bytes. */
         private const val FIRST_BYTES = 4
 
         /** Time for a client to read why it is refused; what it sends meanwhile is discarded. */
         private const val LINGER_MILLIS = 300L
-        private const val RETRY_SECONDS = "0.500"
     }
 }
+
+private fun responseOf(
+    status: String,
+    refusal: Refusal,
+): String {
+    val body = """{"error":"${refusal.detail}"}"""
+    val retry = if (refusal == Refusal.MEMORY) "Retry-After: $RETRY_SECONDS\r\n" else ""
+    val length = "Content-Type: application/json; charset=utf-8\r\nContent-Length: ${body.length}\r\n"
+    return "HTTP/1.1 $status\r\n$length${retry}Connection: close\r\n\r\n$body"
+}
+
+private const val RETRY_SECONDS = "0.500"
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/HeldMemory.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/HeldMemory.kt
@@ -32,6 +32,12 @@
         count(kind, bytes)
     }
 
+    /** Releases what is held for a request that was answered. */
+    fun releaseRequest() {
+        release(IntakeClass.HEADS)
+        release(IntakeClass.BODIES)
+    }
+
     fun release(kind: IntakeClass): Unit = add(kind, -held[kind.ordinal])
 
     private fun count(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -31,7 +31,7 @@
     internal val memory = IntakeMemory(account, IntakeBudget(account.limitBytes))
     private val connections = ConcurrentHashMap.newKeySet<ClientConnection>()
     private val waiting = ConcurrentHashMap.newKeySet<ClientConnection>()
-    private val refusals = Refusals(clock)
+    internal val refusals: Refusals = Refusals(clock, account)
 
     /** Adds the checks of a new connection to its [pipeline]. */
     public fun install(pipeline: ChannelPipeline) {
@@ -68,9 +68,9 @@
         block: suspend () -> T,
     ): T? {
         val bytes = minOf(bodyBytes * DECODED_COPIES, memory.budget.maxRequestBytes - bodyBytes)
-        val deadlineMillis = nowMillis() + settings.memoryWaitMillis
+        val deadlineMillis = nowMillis + settings.memoryWaitMillis
         while (!memory.hold(IntakeClass.BATCHES, bytes, ownBytes = bodyBytes.toLong(), privileged = false)) {
-            if (nowMillis() > deadlineMillis) return null
+            if (nowMillis > deadlineMillis) return null
             delay(CHECK_MILLIS)
         }
         try {
@@ -81,7 +81,7 @@
         }
     }
 
-    internal fun nowMillis(): Long = clock.monotonicMillis()
+    internal val nowMillis: Long get() = clock.monotonicMillis()
 
     internal fun serverOf(channel: Channel): IntakeServer =
         servers[(channel.localAddress() as InetSocketAddress).port] ?: IntakeServer.CALLERS
@@ -102,7 +102,7 @@
     internal fun opened(connection: ClientConnection) {
         connections += connection
         val ofServer = connections.filter { it.server == connection.server }
-        if (ofServer.size <= maxConnections(connection.server)) return
+        if (ofServer.size <= settings.connections * connection.server.connectionPercent / PERCENT) return
         val idle = ofServer.filter { it !== connection && it.idleSinceMillis != null }
         val closed = idle.minWithOrNull(compareBy({ it.served }, { it.idleSinceMillis })) ?: connection
         connections -= closed
@@ -125,14 +125,6 @@
         waiting.sortedBy { it.startedAtMillis }.forEach { it.check() }
     }
 
-    internal fun refused(
-        connection: ClientConnection,
-        refusal: Refusal,
-    ): Unit = refusals.record(connection.server, refusal, account.heldBytes)
-
-    private fun maxConnections(server: IntakeServer): Int =
-        (settings.connections * server.connectionPercent / PERCENT).coerceAtLeast(1)
-
     private fun check() {
         connections.forEach { if (it.idleSinceMillis == null) it.check() }
         val longestMillis = waiting.maxOfOrNull { it.waitingMillis ?: 0 } ?: return
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Refusals.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Refusals.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.intake
 
+import bergamotwall.drivers.http.MemoryAccount
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.labelledGauge
 import bergamotwall.runtime.Clock
@@ -8,7 +9,10 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** Counts refusals by server and reason; logs at most one line a second for each, with the number since then. */
-internal class Refusals(private val clock: Clock) {
+internal class Refusals(
+    private val clock: Clock,
+    private val account: MemoryAccount,
+) {
     private class Count {
         val total = AtomicLong()
         val unlogged = AtomicLong()
@@ -20,7 +24,6 @@
     fun record(
         server: IntakeServer,
         refusal: Refusal,
-        heldBytes: Long,
     ) {
         val count = counts.computeIfAbsent(server to refusal) { Count() }
         count.total.incrementAndGet()
@@ -33,7 +36,7 @@
                 server.name.lowercase(),
                 refusal.name.lowercase(),
                 count.unlogged.getAndSet(0),
-                heldBytes,
+                account.heldBytes,
             )
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
@@ -105,7 +105,16 @@
         when (phase) {
             Phase.HEAD -> readHead()
             Phase.BODY -> passBody()
-            Phase.RESPONSE -> responseEnded.also { if (it) nextRequest() }
+            Phase.RESPONSE -> {
+                val next = responseEnded
+                if (next) {
+                    memory.releaseRequest()
+                    responseEnded = false
+                    framing = null
+                    phase = Phase.HEAD
+                }
+                next
+            }
             Phase.REFUSED -> {
                 pending.skipBytes(pending.readableBytes())
                 false
@@ -156,14 +165,6 @@
         output.pass(part)
     }
 
-    private fun nextRequest() {
-        memory.release(IntakeClass.HEADS)
-        memory.release(IntakeClass.BODIES)
-        responseEnded = false
-        framing = null
-        phase = Phase.HEAD
-    }
-
     private fun hold(
         kind: IntakeClass,
         bytes: Long,
