--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/RequestHedging.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/RequestHedging.kt
@@ -111,9 +111,11 @@
         if (outcome !is ForwardOutcome.Completed) return
         val nowMillis = dependencies.clock.monotonicMillis()
         firstSentAtMillis?.takeIf { undisturbed }?.let { service.durations.record(nowMillis - it, nowMillis) }
-        running.forEach { (target, sentAtMillis) -> dependencies.loads.of(
-            target
-        ).latency.outlasted(sentAtMillis, nowMillis) }
+        running.forEach { (target, sentAtMillis) ->
+            dependencies.loads.of(
+                target
+            ).latency.outlasted(sentAtMillis, nowMillis)
+        }
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/BodyCompletedByOtherResponseTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/BodyCompletedByOtherResponseTest.kt
@@ -53,7 +53,9 @@
             "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: ${body.length}\r\n\r\n$bytes"
 
         private fun inChunks(bytes: String) =
-            "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n${Integer.toHexString(body.length)}\r\n$bytes"
+            "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n${Integer.toHexString(
+                body.length
+            )}\r\n$bytes"
 
         private val others =
             mapOf(
