--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/RequestHedging.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/RequestHedging.kt
@@ -27,8 +27,8 @@
     private var lastReason: WithheldHedge? = null
 
     /**
-     * The next of the [outcomes], or null if the hedging delay of at most [boundMillis] passed first and [hedge] has sent
-     * the request to another target. If it has not, it is called again later, at growing intervals.
+     * The next of the [outcomes], or null if the hedging delay of at most [boundMillis] passed first and [hedge] has
+     * sent the request to another target. If it has not, it is called again later, at growing intervals.
      */
     suspend fun next(
         outcomes: PendingResults<AttemptOutcome>,
@@ -111,9 +111,9 @@
         if (outcome !is ForwardOutcome.Completed) return
         val nowMillis = dependencies.clock.monotonicMillis()
         firstSentAtMillis?.takeIf { undisturbed }?.let { service.durations.record(nowMillis - it, nowMillis) }
-        running.forEach { (target, sentAtMillis) -> dependencies.loads.of(
-            target
-        ).latency.outlasted(sentAtMillis, nowMillis) }
+        running.forEach { (target, sentAtMillis) ->
+            dependencies.loads.of(target).latency.outlasted(sentAtMillis, nowMillis)
+        }
     }
 
     private companion object {
