--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseReader.kt
@@ -42,8 +42,10 @@
         exchange: NettyExchange,
         message: HttpObject,
     ): ReadProgress {
-        if (message is HttpResponse && !readHead(exchange, message)) return ReadProgress.IN_DOUBT
-        if (message is HttpContent && !skipping && !readBody(exchange, message)) return ReadProgress.IN_DOUBT
+        val inDoubt =
+            message is HttpResponse && !readHead(exchange, message) ||
+                message is HttpContent && !skipping && !readBody(exchange, message)
+        if (inDoubt) return ReadProgress.IN_DOUBT
         val last = message is LastHttpContent
         val complete = last && !skipping
         if (last) skipping = false
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/BodyCompletedByOtherResponseTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/BodyCompletedByOtherResponseTest.kt
@@ -52,10 +52,10 @@
         private fun withLength(bytes: String) =
             "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: ${body.length}\r\n\r\n$bytes"
 
-        private fun inChunks(bytes: String) =
-            "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n${Integer.toHexString(
-                body.length
-            )}\r\n$bytes"
+        private fun inChunks(bytes: String): String {
+            val size = Integer.toHexString(body.length)
+            return "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n$size\r\n$bytes"
+        }
 
         private val others =
             mapOf(
