Limit idle connections that can't carry a repeated id

Cause: a connection carries an id once only, so that a repeated response can be told apart. Each request with a repeated id opened a connection, and the earlier ones stayed idle until their timeout. A client could also use up the connections that a target accepts. Ruled out: connections of the clients themselves (12 were open). Change: if 8 connections to an address are idle and none may carry a request, the one that became idle first is closed.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ConnectionPool.kt
@@ -11,10 +11,14 @@
 
     /**
      * Removes and returns the connection that became idle last of those that may carry [request]; null if there is
-     * none. Connections that can't be reused are closed.
+     * none. Connections that can't be reused are closed, and so is the one that became idle first if many are idle and
+     * none fits: a caller that sends the same id again and again would open one with each request.
      */
-    fun take(request: TargetRequest): TargetConnection? =
-        idle.descendingIterator().asSequence().firstOrNull { fits(it, request) }
+    fun take(request: TargetRequest): TargetConnection? {
+        val fitting = idle.descendingIterator().asSequence().firstOrNull { fits(it, request) }
+        if (fitting == null && idle.size >= MAX_UNFIT) idle.pollFirst()?.close()
+        return fitting
+    }
 
     /** Whether [connection] may carry [request]; removes it if so, or if it can't be reused. */
     private fun fits(
@@ -54,4 +58,9 @@
     private fun closeIdle() {
         generateSequence { idle.pollLast() }.forEach { it.close() }
     }
+
+    private companion object {
+        /** Idle connections kept while none of them may carry the request; a target serves several hundred of all. */
+        private const val MAX_UNFIT = 8
+    }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/ScriptedTarget.kt
@@ -21,6 +21,7 @@
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val accepted = AtomicInteger()
+    private val open = AtomicInteger()
     private val next = AtomicInteger()
     private val bodyRead = CountDownLatch(1)
 
@@ -28,6 +29,9 @@
 
     val connections: Int get() = accepted.get()
 
+    /** Connections that neither side has closed. */
+    val openConnections: Int get() = open.get()
+
     init {
         thread(isDaemon = true) {
             try {
@@ -52,12 +56,15 @@
     }
 
     private fun serve(socket: Socket) {
+        open.incrementAndGet()
         socket.use {
             try {
                 while (readRequest(socket.getInputStream())) respond(socket)
             } catch (e: SocketException) {
                 // The client closed the connection first, which some cases expect.
                 check(e.message != null)
+            } finally {
+                open.decrementAndGet()
             }
         }
     }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/TargetClientTest.kt
@@ -13,7 +13,10 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
 
 /** Runs the client against a socket that sends exactly the bytes of each case. */
 internal class TargetClientTest {
@@ -25,7 +28,7 @@
     fun close() {
         client.close()
         server?.close()
-        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS).sync()
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync()
     }
 
     /**
@@ -84,6 +87,18 @@
         expectThat(target.connections).isEqualTo(2)
     }
 
+    @Test
+    fun `a repeated id leaves few idle connections open`() {
+        val target = ScriptedTarget(List(REPEATED) { responseOf("body") })
+        server = target
+        repeat(REPEATED) { send(target, "1") }
+        // Each request needs a connection that has not carried its id.
+        expectThat(target.connections).isEqualTo(REPEATED)
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
+        while (target.openConnections > MAX_IDLE && System.nanoTime() < endNanos) LockSupport.parkNanos(1_000_000)
+        expectThat(target.openConnections).isLessThanOrEqualTo(MAX_IDLE)
+    }
+
     private class Received(val body: String?, val last: ResponsePart)
 
     private fun send(
@@ -109,6 +124,9 @@
         }
 
     companion object {
+        private const val REPEATED = 40
+        private const val MAX_IDLE = 8
+
         private fun responseOf(
             body: String,
             id: String = "1",
