--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -19,7 +19,8 @@
  * Reading stops before anyone is refused; then the connections that hold most without progress are closed.
  */
 public class Intake(
-    internal val settings: IntakeSettings,
+    /** Limits for clients. */
+    public val settings: IntakeSettings,
     private val maxBodyBytes: Long,
     private val clock: Clock,
     /** Server of the port that a client has connected to. */
@@ -81,11 +82,6 @@
         }
     }
 
-    /** Connections that [server] accepts at once: as many as stay open, and some among which one is chosen to close. */
-    public fun maxAccepted(server: IntakeServer): Int = maxOpen(server) + maxOf(1, maxOpen(server) / ACCEPTED_SPARE)
-
-    private fun maxOpen(server: IntakeServer): Int = settings.connections * server.connectionPercent / PERCENT
-
     internal val nowMillis: Long get() = clock.monotonicMillis()
 
     internal fun serverOf(channel: Channel): IntakeServer =
@@ -107,7 +103,7 @@
     internal fun opened(connection: ClientConnection) {
         connections += connection
         val ofServer = connections.filter { it.server == connection.server }
-        if (ofServer.size <= maxOpen(connection.server)) return
+        if (ofServer.size <= settings.maxOpen(connection.server)) return
         val idle = ofServer.filter { it !== connection && it.idleSinceMillis != null }
         val closed = idle.minWithOrNull(compareBy({ it.served }, { it.idleSinceMillis })) ?: connection
         connections -= closed
@@ -144,7 +140,6 @@
     private companion object {
         private const val PERCENT = 100
         private const val CHECK_MILLIS = 200L
-        private const val ACCEPTED_SPARE = 4
 
         /** Connections closed at once while memory is short; the memory that this frees is seen at the next check. */
         private const val MAX_CLOSED = 2
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/IntakeSettings.kt
@@ -33,7 +33,16 @@
     internal val connections: Int
         get() = minOf(maxConnections, maxFds?.let { it / FDS_PER_CONNECTION } ?: maxConnections)
 
+    /** Connections that [server] keeps open. */
+    internal fun maxOpen(server: IntakeServer): Int = connections * server.connectionPercent / PERCENT
+
+    /** Connections that [server] accepts at once: as many as stay open, and some among which one is chosen to close. */
+    public fun maxAccepted(server: IntakeServer): Int = maxOpen(server) + maxOf(1, maxOpen(server) / ACCEPTED_SPARE)
+
     private companion object {
+        private const val PERCENT = 100
+        private const val ACCEPTED_SPARE = 4
+
         /** The other half is for targets, peers, the key-value service and files. */
         private const val FDS_PER_CONNECTION = 2
     }
