Keep serving readers after the service dropped a follower's history

A follower that had seen no change under a prefix for 20 s got "history gone" from the service, listed the prefix again and forgot its changes.

A follower now polls from the revision of an earlier empty response, once a second empty response has shown that the service dropped no change before it (QuietRevision), so that its history does not get lost. If it does, the follower serves the difference between its copy and the new listing. A refusal counts as a contradiction only if the reader has used nothing since it listed from that follower.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/ChangeLog.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/ChangeLog.kt
@@ -26,13 +26,23 @@
     fun append(
         added: List<KeyValueChange>,
         upTo: Long,
-    ) {
-        val batch = Batch(added, upTo)
+    ): Unit = append(Batch(revision, upTo, added, isDifference = false))
+
+    /**
+     * Appends [difference], which turns the entries of [revision] into those of [upTo], but lacks what happened in
+     * between.
+     */
+    fun appendDifference(
+        difference: List<KeyValueChange>,
+        upTo: Long,
+    ): Unit = append(Batch(revision, upTo, difference, isDifference = true))
+
+    private fun append(batch: Batch) {
         batches += batch
-        changes += added.size
+        changes += batch.changes.size
         chars += batch.chars
-        revision = upTo
-        while (changes > maxChanges || chars > maxChars) {
+        revision = batch.upTo
+        while (changes > maxChanges || chars > maxChars || batches.size > maxChanges) {
             val dropped = batches.removeFirst()
             changes -= dropped.changes.size
             chars -= dropped.chars
@@ -42,12 +52,20 @@
 
     /**
      * The changes after revision [after], or null if some of them are forgotten. A batch that [after] lies within is
-     * returned as a whole: applied in order and at once, it leads to the same state.
+     * returned as a whole: applied in order and at once, it leads to the same state. Within a difference, [after] is
+     * forgotten: the difference does not delete what was created before [after] and deleted after it.
      */
-    fun since(after: Long): List<KeyValueChange>? =
-        if (after < firstRevision) null else batches.filter { it.upTo > after }.flatMap { it.changes }
+    fun since(after: Long): List<KeyValueChange>? {
+        val isForgotten = after < firstRevision || batches.any { it.isDifference && after > it.from && after < it.upTo }
+        return if (isForgotten) null else batches.filter { it.upTo > after }.flatMap { it.changes }
+    }
 
-    private class Batch(val changes: List<KeyValueChange>, val upTo: Long) {
+    private class Batch(
+        val from: Long,
+        val upTo: Long,
+        val changes: List<KeyValueChange>,
+        val isDifference: Boolean,
+    ) {
         val chars = changes.sumOf { it.key.length + ((it as? KeyValueChange.Put)?.entry?.value?.length ?: 0) }
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/PrefixCopy.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/PrefixCopy.kt
@@ -36,21 +36,38 @@
     /** Increases with each change and each new proof. */
     val version: StateFlow<Long> get() = versions
 
-    /** Takes [listing], which the service itself sent if [directProof] tells when it was current. */
+    /**
+     * Takes [listing], which the service itself sent if [directProof] tells when it was current. If the copy was served
+     * before, its readers get the difference.
+     */
     @Synchronized
     fun listed(
         listing: KeyValueListing,
         directProof: ClockReading?,
     ) {
+        val difference = if (direct && directProof != null) differenceTo(listing) else null
+        if (difference == null) log.restart(listing.revision) else log.appendDifference(difference, listing.revision)
         entries.clear()
         listing.entries.associateByTo(entries) { it.key }
-        log.restart(listing.revision)
         revision = listing.revision
         direct = directProof != null
         proof = directProof
         versions.update { it + 1 }
     }
 
+    /**
+     * What turns the current entries into those of [listing]; null if that can't be served as changes up to its
+     * revision, because the listing is older or has later entries.
+     */
+    private fun differenceTo(listing: KeyValueListing): List<KeyValueChange>? {
+        val isLater = listing.revision >= log.revision && listing.entries.all { it.modRevision <= listing.revision }
+        if (!isLater || revision != log.revision) return null
+        val deleted = entries.keys - listing.entries.mapTo(HashSet()) { it.key }
+        val written = listing.entries.filter { entries[it.key]?.modRevision != it.modRevision }
+        return deleted.sorted().map { KeyValueChange.Deleted(it) } +
+            written.sortedBy { it.modRevision }.map { KeyValueChange.Put(it) }
+    }
+
     /**
      * Takes [changes], those after revision [after]. [directProof] is that of the copy if the service itself sent
      * them, null if another process did.
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/ServicePolls.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/ServicePolls.kt
@@ -9,6 +9,8 @@
 import bergamotwall.runtime.read
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 
 /** Polls the service itself over [feed], and records its responses in the copy of a watch. */
 internal class ServicePolls(
@@ -16,14 +18,27 @@
     private val clock: Clock,
     private val metrics: SharedWatchMetrics,
 ) {
+    /** Polls for a process that watches for others. A quiet prefix is not listed again when old changes are dropped. */
+    suspend fun pollForOthers(
+        watch: SharedWatch,
+        request: FollowChanges,
+    ): Result<Followed<KeyValueChanges>, KeyValueError> =
+        poll(watch, request, watch.quiet.pollAfter(request.after))
+            .onSuccess { response ->
+                val empty = response.content.changes.isEmpty()
+                if (empty) watch.quiet.answeredEmpty(request.after, response.content.revision) else watch.quiet.reset()
+            }.onFailure { watch.quiet.reset() }
+
+    /** Polls for the changes after [pollAfter], before which the caller has missed none. */
     suspend fun poll(
         watch: SharedWatch,
         request: FollowChanges,
+        pollAfter: Long = request.after,
     ): Result<Followed<KeyValueChanges>, KeyValueError> {
         watch.bypassed()
         metrics.polledService()
         val sent = clock.read()
-        return feed.changes(request.prefix, request.after, request.waitMillis).map { changes ->
+        return feed.changes(request.prefix, pollAfter, request.waitMillis).map { changes ->
             val received = clock.read()
             val provenMillis =
                 provenAfterMillis(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.news
 
 import bergamotwall.decisions.membership.FollowerTrust
+import bergamotwall.decisions.membership.QuietRevision
 import bergamotwall.drivers.KeyValueListing
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.model.NodeId
@@ -19,9 +20,12 @@
     private val failures: Counter,
 ) {
     val copy = PrefixCopy()
+
+    /** Where polls of the service begin while the prefix is quiet and this process watches for others. */
+    val quiet = QuietRevision()
     private val trust = FollowerTrust(FIRST_AVOID_MILLIS, MAX_AVOID_MILLIS)
     private var lost: NodeId? = null
-    private var followedListing: Long? = null
+    private var unusedListing: NodeId? = null
     private var latestProof: ClockReading? = null
 
     /** The follower that sent the latest response, null if the service itself did. */
@@ -44,6 +48,7 @@
         proof: ClockReading,
     ) {
         trust.succeeded(follower.id)
+        unusedListing = null
         proven(proof)
         if (source == follower.id) return
         val event = if (lost == follower.id) "follower_regained" else "follower_chosen"
@@ -65,20 +70,23 @@
         Logger.warn("event=follower_lost prefix={} follower={} cause={}", prefix, follower.id.value, reason)
     }
 
-    /** Records the [listing] that a follower sent. */
-    fun listed(listing: KeyValueListing) {
+    /** Records the [listing] that [follower] sent. */
+    fun listed(
+        follower: GatewayMember,
+        listing: KeyValueListing,
+    ) {
         copy.listed(listing, null)
-        followedListing = listing.revision
+        unusedListing = follower.id
     }
 
     /**
-     * Whether [response] says that the changes after revision [after] are gone, so that all entries must be listed. If
-     * they were listed at that very revision, the follower contradicts itself, and the response is a failure.
+     * Whether [response] says that the changes are gone, so that all entries must be listed. If [follower] has just sent
+     * its listing, it contradicts itself, and the response is a failure. Later it may have listed again itself.
      */
     fun mustList(
-        after: Long,
+        follower: GatewayMember,
         response: Result<*, FollowerFailure>,
-    ): Boolean = response.getError() == FollowerFailure.HISTORY_GONE && after != followedListing
+    ): Boolean = response.getError() == FollowerFailure.HISTORY_GONE && follower.id != unusedListing
 
     /** Records that this process was current at [moment]. */
     fun proven(moment: ClockReading) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
@@ -69,7 +69,7 @@
         for (follower in followersFor(watch)) {
             val response = client.list(follower, prefix, watch.copy, settings.marginMillis)
             val followed = usedResponse(watch, follower, response) ?: continue
-            watch.listed(followed.content)
+            watch.listed(follower, followed.content)
             return Ok(followed.content.copy(provenAfterMillis = started.provenMillisUntil(followed.proof)))
         }
         watch.bypassed()
@@ -102,7 +102,7 @@
         val proof = watch.copy.directProof ?: return Err(notListed)
         val started = clock.read()
         val waitMillis = timing.followerWaitMillis(request.waitMillis, proof.millisUntil(started))
-        return servicePolls.poll(watch, request.copy(waitMillis = waitMillis))
+        return servicePolls.pollForOthers(watch, request.copy(waitMillis = waitMillis))
             .map { it.content.copy(provenAfterMillis = started.provenMillisUntil(it.proof)) }
     }
 
@@ -129,7 +129,7 @@
         val longestMillis = timing.longPollMillis(request.waitMillis, watch.proofAgeMillis())
         val waitMillis = if (watch.trusts(follower)) longestMillis else 0
         val response = client.changes(follower, request.copy(waitMillis = waitMillis), watch.copy)
-        if (watch.mustList(request.after, response)) return Err(historyGone)
+        if (watch.mustList(follower, response)) return Err(historyGone)
         return usedResponse(watch, follower, response)?.let { followed ->
             watch.copy.changed(request.after, followed.content, null)
             if (waitMillis > 0 && followed.content.changes.isEmpty()) {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/news/FollowFleet.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/news/FollowFleet.kt
@@ -3,6 +3,7 @@
 import bergamotwall.drivers.ChangeFeed
 import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.KeyValueStore
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.WatchSettings
 import bergamotwall.gateway.members.GatewayMember
@@ -42,15 +43,23 @@
     /** Revisions below this are compacted. */
     var compactedRevision = 0L
 
+    /** Age from which on the service drops changes. */
+    var historyMillis = Long.MAX_VALUE
+
     val followers: List<Process> get() = processes.filter { it.role is WatchRole.Follower }
     val readers: List<Process> get() = processes.filter { it.role is WatchRole.Reader }
 
     /** Writes the only key at [atMillis]; writes must be added in the order of their times. */
     fun write(atMillis: Long) {
-        network.write(KEY, atMillis)
-        writes += atMillis to (writes.size + FIRST_REVISION)
+        writes += atMillis to network.write(KEY, atMillis)
     }
 
+    /** Writes a key that is not watched at [atMillis]. */
+    fun writeElsewhere(atMillis: Long): Unit = network.writeElsewhere(atMillis)
+
+    /** The revision of the service at [atMillis]. */
+    fun serviceRevisionAt(atMillis: Long): Long = network.revisionAt(atMillis)
+
     /** Interrupts [path] between [fromMillis] and [untilMillis]. */
     fun interrupt(
         path: String,
@@ -71,13 +80,19 @@
         private val driver = network.Driver(pathToService, settings.marginMillis)
         private val feed =
             ChangeFeed { prefix, after, waitMillis ->
-                if (after < compactedRevision) {
+                val droppedMillis = scope.currentTime - historyMillis
+                val dropped = if (droppedMillis < 0) 0 else network.revisionAt(droppedMillis)
+                if (after < maxOf(compactedRevision, dropped)) {
                     Err(KeyValueError.HistoryCompacted("compacted"))
                 } else {
                     polls++
                     driver.changes(prefix, after, waitMillis)
                 }
             }
+        private val store =
+            object : KeyValueStore by driver {
+                override suspend fun list(prefix: String) = driver.list(prefix).also { listings++ }
+            }
         private val outages = StoreOutages(this, settings.outageMillis)
         private val shared =
             SharedWatches(
@@ -85,7 +100,7 @@
                     member.id,
                     member.dataCentre,
                     { memberList },
-                    driver,
+                    store,
                     feed,
                     this,
                     this,
@@ -119,6 +134,9 @@
         /** Polls of the service so far. */
         var polls = 0
 
+        /** Listings of the service so far. */
+        var listings = 0
+
         /** Replaces the response to a message, or delays it. */
         var fault: suspend (PeerMessage, suspend () -> PeerMessage) -> PeerMessage = { _, respond -> respond() }
 
@@ -185,7 +203,6 @@
     companion object {
         const val PREFIX = "op/"
         private const val KEY = "op/config"
-        private const val FIRST_REVISION = 2L
 
         /** A process that never responds. */
         val silent: suspend (PeerMessage, suspend () -> PeerMessage) -> PeerMessage = { _, _ ->
--- a/gateway/src/test/kotlin/bergamotwall/gateway/news/PrefixCopyTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/news/PrefixCopyTest.kt
@@ -32,6 +32,31 @@
         expectThat(changes?.changes?.joinToString(" ") { it.key } ?: "gone").isEqualTo(keys)
     }
 
+    /**
+     * Guards against readers that keep a key that was created and deleted while the history was gone: a difference can
+     * only be applied to the state that it was computed from.
+     */
+    @ParameterizedTest(name = "after revision {0}: {1}")
+    @CsvSource("9, gone", "10, -a b c", "12, gone", "19, gone", "20, ''", "25, ''")
+    fun `the difference to a new listing is served to readers that have the state before it`(
+        after: Long,
+        keys: String,
+    ) {
+        copy.listed(KeyValueListing(listOf(entry("a", 3), entry("b", 4), entry("d", 5)), 10), proof)
+        copy.listed(KeyValueListing(listOf(entry("c", 18), entry("b", 12), entry("d", 5)), 20), proof)
+        val changes = copy.servedSince(after)?.content?.changes
+        val text = changes?.joinToString(" ") { if (it is KeyValueChange.Deleted) "-${it.key}" else it.key }
+        expectThat(text ?: "gone").isEqualTo(keys)
+    }
+
+    /** Pages of a listing are read one after another, so that an entry may be newer than the listing's revision. */
+    @Test
+    fun `the difference to a listing with later entries is not served`() {
+        copy.listed(KeyValueListing(listOf(entry("a", 3)), 10), proof)
+        copy.listed(KeyValueListing(listOf(entry("a", 21)), 20), proof)
+        expectThat(copy.servedSince(10)?.content).isNull()
+    }
+
     /** Guards against memory that grows with the number and the size of changes. */
     @Test
     fun `the log is bounded, and a reader that it does not reach lists again`() {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/news/SharedWatchesTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/news/SharedWatchesTest.kt
@@ -139,6 +139,47 @@
             expectThat(fleet.readers.sumOf { it.polls }).isEqualTo(polls)
         }
 
+    /** Guards against a series of listings and polls each time the service has dropped the history of a quiet prefix. */
+    @Test
+    fun `a quiet prefix is not listed again although the service drops old changes`() =
+        runTest {
+            val fleet = quietFleet()
+            fleet.historyMillis = HISTORY_MILLIS
+            run(fleet, FROM_MILLIS)
+            val listings = fleet.processes.sumOf { it.listings }
+            val polls = fleet.readers.sumOf { it.polls }
+            expectThat(run(fleet, RETURNED_MILLIS)).isEmpty()
+            expectThat(fleet.processes.sumOf { it.listings } - listings).describedAs("listings").isEqualTo(0)
+            expectThat(fleet.readers.sumOf { it.polls } - polls).describedAs("polls of readers").isEqualTo(0)
+        }
+
+    /** Guards against readers that turn to the service because their follower had to list the prefix. */
+    @Test
+    fun `readers stay with a follower whose history is gone`() =
+        runTest {
+            val fleet = quietFleet()
+            run(fleet, FROM_MILLIS)
+            val listings = fleet.processes.sumOf { it.listings }
+            val polls = fleet.readers.sumOf { it.polls }
+            fleet.compactedRevision = fleet.serviceRevisionAt(FROM_MILLIS)
+            expectThat(run(fleet, END_MILLIS)).isEmpty()
+            expectThat(fleet.processes.sumOf { it.listings } - listings).describedAs("listings").isEqualTo(2)
+            expectThat(fleet.readers.sumOf { it.polls } - polls).describedAs("polls of readers").isEqualTo(0)
+            val latest = fleet.readers.maxOf { it.adoptedAtMillis.getValue(fleet.revisionAt(END_MILLIS)) }
+            expectThat(latest - QUIET_UNTIL_MILLIS).isLessThan(HOP_MILLIS)
+        }
+
+    /** A fleet whose configuration is written at the start and at [QUIET_UNTIL_MILLIS] only, unlike other keys. */
+    private fun TestScope.quietFleet(): FollowFleet {
+        val fleet = FollowFleet(this, SIZE)
+        fleet.write(0)
+        (OTHER_WRITES_MILLIS..RETURNED_MILLIS step OTHER_WRITES_MILLIS).forEach {
+            if (it == QUIET_UNTIL_MILLIS) fleet.write(it) else fleet.writeElsewhere(it)
+        }
+        fleet.start()
+        return fleet
+    }
+
     @Test
     fun `a small fleet watches the service as before`() =
         runTest {
@@ -170,6 +211,9 @@
         private const val UNTIL_MILLIS = 16_000L
         private const val END_MILLIS = 30_000L
         private const val RETURNED_MILLIS = 120_000L
+        private const val HISTORY_MILLIS = 20_000L
+        private const val OTHER_WRITES_MILLIS = 500L
+        private const val QUIET_UNTIL_MILLIS = 25_000L
         private const val STEP_MILLIS = 10L
         private const val OFFSETS_MILLIS = 1_600L
         private const val OFFSET_STEP_MILLIS = 230L
--- a/gateway/src/test/kotlin/bergamotwall/gateway/store/UnreliableNetwork.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/store/UnreliableNetwork.kt
@@ -34,17 +34,33 @@
     /** Keys under the watched prefix, with the time of their only write. */
     private val writes = ArrayList<Pair<KeyValueEntry, Long>>()
 
+    /** Revisions of writes under other prefixes, with their times. */
+    private val otherWrites = ArrayList<Pair<Long, Long>>()
+
     private var revision = 1L
 
-    /** Writes [key] at [atMillis]; writes must be added in the order of their times. */
+    /** Writes [key] at [atMillis] and returns the revision; writes must be added in the order of their times. */
     fun write(
         key: String,
         atMillis: Long,
-    ) {
+    ): Long {
         revision++
         writes += KeyValueEntry(key, "v", revision, revision) to atMillis
+        return revision
+    }
+
+    /** Writes a key under another prefix at [atMillis]. */
+    fun writeElsewhere(atMillis: Long) {
+        otherWrites += ++revision to atMillis
     }
 
+    /** The revision of the service at [atMillis]. */
+    fun revisionAt(atMillis: Long): Long =
+        maxOf(
+            writes.filter { it.second <= atMillis }.maxOfOrNull { it.first.modRevision } ?: 1,
+            otherWrites.filter { it.second <= atMillis }.maxOfOrNull { it.first } ?: 1,
+        )
+
     /** Makes [call] over [path] and waits up to [timeoutMillis]; null without a response. */
     suspend fun <T : Any> over(
         path: String,
@@ -78,7 +94,7 @@
         while (true) {
             val changes = visible().filter { it.modRevision > afterRevision }.map { KeyValueChange.Put(it) }
             if (changes.isNotEmpty() || nowMillis() >= untilMillis) {
-                return KeyValueChanges(changes, visible().maxOfOrNull { it.modRevision } ?: 1)
+                return KeyValueChanges(changes, revisionAt(nowMillis()))
             }
             delay(minOf(POLL_STEP_MILLIS, untilMillis - nowMillis()))
         }
@@ -95,7 +111,7 @@
             list(key).map { it.entries.firstOrNull() }
 
         override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> =
-            call { KeyValueListing(visible(), visible().maxOfOrNull { it.modRevision } ?: 1) }
+            call { KeyValueListing(visible().associateBy { it.key }.values.toList(), revisionAt(nowMillis())) }
 
         override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
             call { TransactionOutcome.Committed(1) }
