Let followers pause longer after changes that nobody awaits

Changes come in series: 31 targets that load new weights one after another, or a fleet that registers. Each follower polled again 40 ms after each change, up to 25 calls per second, although only processes that run batches or order weights need changed targets at once.

Readers now say whether they must learn of changes at once (FollowChanges.urgent; older builds count as urgent), and prefer the same follower then. A follower pauses for up to 90 ms if it serves such a reader, else for up to 300 ms, never longer than half of what departures of targets leave, nor than a process that watches alone. A fleet below follow.sharedFromMembers has no followers and makes the same calls.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -222,6 +222,7 @@
                 drivers.clock,
                 outages,
                 metrics,
+                isUrgent = { watches.isUrgent(it) },
             ),
             settings.follow,
         )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -127,9 +127,20 @@
             watchSettings.longestMemberPauseMillis,
         )
 
-    /** Processes that place items or order weights need to know at once which engines hold which version. */
+    /**
+     * Whether this process must learn of changes under [prefix] at once: processes that place items or order weights
+     * need to know which engines hold which version, and all need the configuration.
+     */
+    fun isUrgent(prefix: String): Boolean =
+        when (prefix) {
+            drivers.documents.operatorPrefix -> true
+            drivers.documents.targetPrefix ->
+                weightLeadership.leader?.value == settings.id.value || handlers.runsBatches()
+            else -> false
+        }
+
     private fun targetPauseMillis(): Long =
-        if (weightLeadership.leader?.value == settings.id.value || handlers.runsBatches()) {
+        if (isUrgent(drivers.documents.targetPrefix)) {
             watchSettings.targetPauseMillis
         } else {
             newsPauseMillis(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/FollowerServer.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/FollowerServer.kt
@@ -20,15 +20,15 @@
  * [maxAgeMillis], so that nothing is passed on over more than one process.
  */
 internal class FollowerServer(
-    private val copies: (prefix: String) -> PrefixCopy?,
+    private val watches: (prefix: String) -> SharedWatch?,
     private val clock: Clock,
     private val maxAgeMillis: Long,
 ) {
     /** The response to [message], or null if that is not a request to a follower. */
     suspend fun handle(message: PeerMessage): PeerMessage? =
         when (message) {
-            is FollowList -> copies(message.prefix)?.let { entriesOf(it) } ?: refusal
-            is FollowChanges -> copies(message.prefix)?.let { changesOf(it, message) } ?: refusal
+            is FollowList -> watches(message.prefix)?.let { entriesOf(it.copy) } ?: refusal
+            is FollowChanges -> watches(message.prefix)?.let { changesOf(it, message) } ?: refusal
             else -> null
         }
 
@@ -39,9 +39,11 @@
     }
 
     private suspend fun changesOf(
-        copy: PrefixCopy,
+        watch: SharedWatch,
         message: FollowChanges,
     ): PeerMessage? {
+        if (message.urgent) watch.urgentReader()
+        val copy = watch.copy
         val received = clock.read()
         val version = copy.version.value
         val before = copy.servedSince(message.after)?.takeIf { it.proof.isRecent() } ?: return null
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
@@ -12,6 +12,7 @@
 import com.github.michaelbull.result.getError
 import io.prometheus.metrics.core.metrics.Counter
 import org.tinylog.Logger
+import java.util.concurrent.atomic.AtomicLong
 
 /** State of the shared watch on [prefix] at this process. Used by one watch at a time. */
 internal class SharedWatch(
@@ -25,6 +26,7 @@
     val quiet = QuietRevision()
     private val trust = FollowerTrust(FIRST_AVOID_MILLIS, MAX_AVOID_MILLIS)
     private var lost: NodeId? = null
+    private val urgentAtMillis = AtomicLong(Long.MIN_VALUE)
     private var unusedListing: NodeId? = null
     private var latestProof: ClockReading? = null
 
@@ -96,6 +98,12 @@
     /** Time since the latest proof that this process was current. */
     fun proofAgeMillis(): Long = latestProof?.millisUntil(clock.read()) ?: Long.MAX_VALUE
 
+    /** Records that a reader polled that must learn of changes at once. */
+    fun urgentReader(): Unit = urgentAtMillis.set(clock.monotonicMillis())
+
+    /** Whether this process serves a reader that must learn of changes at once. */
+    val hasUrgentReader: Boolean get() = clock.monotonicMillis() - READER_GONE_MILLIS < urgentAtMillis.get()
+
     /** Records that the service itself was asked. */
     fun bypassed() {
         trust.bypassed()
@@ -106,6 +114,9 @@
         /** Several times the pauses and partitions that pass by themselves in a moment. */
         private const val FIRST_AVOID_MILLIS = 2_000L
 
+        /** Longer than a reader's long poll. */
+        private const val READER_GONE_MILLIS = 3_000L
+
         /** A follower that can't be reached for long, or does not know the messages, costs a call a minute. */
         private const val MAX_AVOID_MILLIS = 60_000L
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatchDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatchDependencies.kt
@@ -10,7 +10,10 @@
 import bergamotwall.peers.PeerClient
 import bergamotwall.runtime.Clock
 
-/** What the shared watches of process [self] work with. [store] and [feed] are the key-value service itself. */
+/**
+ * What the shared watches of process [self] work with. [store] and [feed] are the key-value service itself. [isUrgent]
+ * returns whether this process must learn of changes under a prefix at once.
+ */
 internal data class SharedWatchDependencies(
     val self: NodeId,
     val dataCentre: DataCentre,
@@ -21,4 +24,5 @@
     val clock: Clock,
     val outages: StoreOutages,
     val metrics: GatewayMetrics,
+    val isUrgent: (prefix: String) -> Boolean,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatches.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.news
 
+import bergamotwall.decisions.membership.followerPauseMillis
 import bergamotwall.drivers.ChangeFeed
 import bergamotwall.drivers.KeyValueChanges
 import bergamotwall.drivers.KeyValueError
@@ -40,7 +41,7 @@
     private val client =
         FollowerClient(dependencies.peers, clock, settings.sharedMarginMillis, settings.sharedAgeMillis)
     private val watches = ConcurrentHashMap<String, SharedWatch>()
-    private val server = FollowerServer({ watches[it]?.copy }, clock, settings.sharedAgeMillis)
+    private val server = FollowerServer({ watches[it] }, clock, settings.sharedAgeMillis)
     private val metrics = SharedWatchMetrics(dependencies.metrics, { roles.current() }, { watches.values })
     private val servicePolls = ServicePolls(dependencies.feed, clock, metrics)
     private val failures =
@@ -51,14 +52,19 @@
 
     /**
      * The pause of the watch on [prefix] after a change: at most [usualMillis], which keeps the calls of all processes
-     * to the service in bounds and is not needed where only a few of them call it.
+     * to the service in bounds. Only followers and processes that watch alone call the service.
      */
     fun pauseMillis(
         prefix: String,
         usualMillis: Long,
     ): Long =
         when {
-            roles.current() is WatchRole.Follower -> minOf(usualMillis, FOLLOWER_PAUSE_MILLIS)
+            roles.current() is WatchRole.Follower ->
+                followerPauseMillis(
+                    usualMillis,
+                    dependencies.isUrgent(prefix) || watchOf(prefix).hasUrgentReader,
+                    (settings.departureMillis - settings.departureMarginMillis) / 2,
+                )
             watches[prefix]?.source != null -> minOf(usualMillis, READER_PAUSE_MILLIS)
             else -> usualMillis
         }
@@ -83,7 +89,7 @@
         waitMillis: Long,
     ): Result<KeyValueChanges, KeyValueError> {
         val watch = watchOf(prefix)
-        val request = FollowChanges(prefix, afterRevision, waitMillis)
+        val request = FollowChanges(prefix, afterRevision, waitMillis, dependencies.isUrgent(prefix))
         return when (roles.current()) {
             is WatchRole.Alone -> servicePolls.poll(watch, request).map { it.content }
             is WatchRole.Follower -> follow(watch, request)
@@ -144,7 +150,9 @@
         watches.computeIfAbsent(prefix) { SharedWatch(it, clock, failures) }
 
     private fun followersFor(watch: SharedWatch): List<GatewayMember> =
-        (roles.current() as? WatchRole.Reader)?.let { watch.usable(it.followers) }.orEmpty()
+        (roles.current() as? WatchRole.Reader)
+            ?.let { watch.usable(if (dependencies.isUrgent(watch.prefix)) it.urgentFollowers else it.followers) }
+            .orEmpty()
 
     /** The accepted [response] of [follower], or null; records which it is. */
     private fun <T> usedResponse(
@@ -162,9 +170,6 @@
 
     private companion object {
         private const val READER_PAUSE_MILLIS = 5L
-
-        /** Two followers a data centre then make fewer calls in a burst of changes than all processes did before. */
-        private const val FOLLOWER_PAUSE_MILLIS = 40L
         private val notListed = KeyValueError.HistoryCompacted("this process watches for others from now on")
         private val historyGone = KeyValueError.HistoryCompacted("the follower no longer has the changes")
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/WatchRoles.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/WatchRoles.kt
@@ -17,8 +17,11 @@
     /** Watches the service for itself and for the others of its data centre. */
     data object Follower : WatchRole
 
-    /** Asks [followers], in this order. */
-    data class Reader(val followers: List<GatewayMember>) : WatchRole
+    /**
+     * Asks [followers], in this order, or [urgentFollowers] where it must learn of changes at once. That order is the
+     * same at all readers, so that only one follower must make calls for them in a series of changes.
+     */
+    data class Reader(val followers: List<GatewayMember>, val urgentFollowers: List<GatewayMember>) : WatchRole
 }
 
 /** Determines the role of process [self] in [dataCentre] from the registered members. Thread-safe. */
@@ -49,7 +52,11 @@
         return when {
             followers.isEmpty() -> WatchRole.Alone
             followers.any { it.id == self } -> WatchRole.Follower
-            else -> WatchRole.Reader(followerOrder(self, followers).mapNotNull { list.members[it] })
+            else ->
+                WatchRole.Reader(
+                    followerOrder(self, followers).mapNotNull { list.members[it] },
+                    followers.mapNotNull { list.members[it.id] },
+                )
         }
     }
 
--- a/gateway/src/test/kotlin/bergamotwall/gateway/news/FollowFleet.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/news/FollowFleet.kt
@@ -106,6 +106,7 @@
                     this,
                     outages,
                     GatewayMetrics(),
+                    isUrgent = { true },
                 ),
                 settings,
             )
--- a/model/src/main/kotlin/bergamotwall/model/FollowMessages.kt
+++ b/model/src/main/kotlin/bergamotwall/model/FollowMessages.kt
@@ -13,12 +13,17 @@
 
 /**
  * Requests the changes under [prefix] after revision [after] from a process that watches the key-value service for
- * others. The process waits up to [waitMillis] for a change, or for a newer proof that there is none. The response is
- * [FollowedChanges] or [StoreFailure].
+ * others. The process waits up to [waitMillis] for a change, or for a newer proof that there is none. [urgent]: the sender
+ * must learn of changes at once; older builds do not say. The response is [FollowedChanges] or [StoreFailure].
  */
 @Serializable
 @SerialName("nc")
-public data class FollowChanges(val prefix: String, val after: Long, val waitMillis: Long) : PeerMessage
+public data class FollowChanges(
+    val prefix: String,
+    val after: Long,
+    val waitMillis: Long,
+    val urgent: Boolean = true,
+) : PeerMessage
 
 /**
  * Entries as of [revision]. [ageMillis]: time from the moment at which the sender last knew from the key-value service
