--- a/decisions/src/main/kotlin/bergamotwall/decisions/membership/FollowerPause.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/membership/FollowerPause.kt
@@ -6,8 +6,8 @@
  * itself, must learn of changes at once, as those that run batches or order weights must of changed targets.
  * [lateMillis]: how late the others may learn of them.
  *
- * Load pattern: changes come in series, when a fleet starts or targets load weights one after another, and each follower
- * polls once per pause. Its readers add their own short pause and two hops.
+ * Load pattern: changes come in series, when a fleet starts or targets load weights one after another, and each
+ * follower polls once per pause. Its readers add their own short pause and two hops.
  */
 public fun followerPauseMillis(
     usualMillis: Long,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/news/SharedWatch.kt
@@ -82,8 +82,8 @@
     }
 
     /**
-     * Whether [response] says that the changes are gone, so that all entries must be listed. If [follower] has just sent
-     * its listing, it contradicts itself, and the response is a failure. Later it may have listed again itself.
+     * Whether [response] says that the changes are gone, so that all entries must be listed. If [follower] has just
+     * sent its listing, it contradicts itself, and the response is a failure. Later it may have listed again itself.
      */
     fun mustList(
         follower: GatewayMember,
--- a/gateway/src/test/kotlin/bergamotwall/gateway/news/SharedWatchesTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/news/SharedWatchesTest.kt
@@ -139,7 +139,7 @@
             expectThat(fleet.readers.sumOf { it.polls }).isEqualTo(polls)
         }
 
-    /** Guards against a series of listings and polls each time the service has dropped the history of a quiet prefix. */
+    /** Guards against listings and polls each time the service has dropped the history of a quiet prefix. */
     @Test
     fun `a quiet prefix is not listed again although the service drops old changes`() =
         runTest {
--- a/model/src/main/kotlin/bergamotwall/model/FollowMessages.kt
+++ b/model/src/main/kotlin/bergamotwall/model/FollowMessages.kt
@@ -13,8 +13,8 @@
 
 /**
  * Requests the changes under [prefix] after revision [after] from a process that watches the key-value service for
- * others. The process waits up to [waitMillis] for a change, or for a newer proof that there is none. [urgent]: the sender
- * must learn of changes at once; older builds do not say. The response is [FollowedChanges] or [StoreFailure].
+ * others. The process waits up to [waitMillis] for a change, or for a newer proof that there is none. [urgent]: the
+ * sender must learn of changes at once; older builds do not say. The response is [FollowedChanges] or [StoreFailure].
  */
 @Serializable
 @SerialName("nc")
