Acquire leaderships with the watched keys, one process after another, in large fleets

When a leadership was free, each process read its keys every 100 to 200 ms until its watch named the leader: 219 reads at the start of 85 processes, which watch the prefix of these keys anyway.

From follow.sharedFromMembers members on, a process takes the keys from the watched entries, and the transaction that acquires the lease still requires that they are unchanged. If it is declined, the keys are read before the next attempt. Smaller fleets read the keys as before.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/Hashes.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/Hashes.kt
@@ -29,6 +29,16 @@
         Hashing.xxh3_64().hashStream().putString(host).putString(method).putString(path).putByteArray(body).asLong
     )
 
+/** How many of [nodes] precede [self] in the order of rendezvous hashing for [key]. */
+public fun rankOf(
+    key: String,
+    self: NodeId,
+    nodes: Collection<NodeId>,
+): Int {
+    val own = hashOf("$key@${self.value}")
+    return nodes.count { it != self && hashOf("$key@${it.value}") > own }
+}
+
 /**
  * Owner of [key] among [nodes] by rendezvous hashing (Thaler and Ravishankar, 1998): the loss of a node moves only the
  * keys that it owned. Null if [nodes] is empty.
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -149,6 +149,7 @@
                     random = random,
                     journal = journal,
                     metrics = metrics,
+                    sharedFromMembers = settings.follow.sharedFromMembers,
                 )
             UsageReporting(dependencies, usageSettings, eventLoop)
         }
@@ -253,6 +254,7 @@
                 LeadershipDependencies(settings.id, store, drivers.clock, journal),
                 settings.weights.leaseTtlSeconds,
                 LeadershipKeys(GatewayKeys.WEIGHT_LEADER, GatewayKeys.LAST_WEIGHT_LEADER),
+                watched = { watches.watchedLeadership },
             ),
             settings.weights,
         )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.duties.LeadershipVacancy
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
+import bergamotwall.gateway.members.leaderCandidates
 import bergamotwall.gateway.news.SharedWatches
 import bergamotwall.gateway.store.DecodedEntries
 import bergamotwall.gateway.store.GatewayKeys
@@ -16,6 +17,7 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.isAddress
 import bergamotwall.runtime.LeadershipKeys
+import bergamotwall.runtime.WatchedLeadership
 import kotlinx.coroutines.CoroutineScope
 import org.tinylog.Logger
 
@@ -87,7 +89,10 @@
             LeadershipKeys(GatewayKeys.WEIGHT_LEADER, GatewayKeys.LAST_WEIGHT_LEADER),
             settings.id,
             drivers.clock,
-        )
+        ) { leaderCandidates(gatewayState.members.read(), watchSettings.sharedFromMembers) }
+
+    /** The leadership for weight orders as the watch knows it; null if it must be read. */
+    val watchedLeadership: WatchedLeadership? get() = weightLeadership.watched
 
     /** Whether this process should try to become the leader that sends weight orders, because there is none. */
     fun shouldAcquireLeadership(): Boolean = weightLeadership.shouldAcquire()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/usage/UsageDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/usage/UsageDependencies.kt
@@ -9,7 +9,10 @@
 import bergamotwall.runtime.Journal
 import kotlin.random.Random
 
-/** Dependencies of [UsageReporting]; [node] is this process, in its [incarnation]. */
+/**
+ * Dependencies of [UsageReporting]; [node] is this process, in its [incarnation]. From [sharedFromMembers] members on,
+ * processes try one after another to become the leader.
+ */
 public data class UsageDependencies(
     public val node: NodeId,
     public val incarnation: Long,
@@ -21,4 +24,5 @@
     public val random: Random,
     public val journal: Journal,
     public val metrics: GatewayMetrics,
+    public val sharedFromMembers: Int = Int.MAX_VALUE,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/usage/UsageReporting.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/usage/UsageReporting.kt
@@ -6,6 +6,7 @@
 import bergamotwall.gateway.duties.LeadershipVacancy
 import bergamotwall.gateway.duties.TermPhase
 import bergamotwall.gateway.duties.TermTiming
+import bergamotwall.gateway.members.leaderCandidates
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.model.NodeId
 import bergamotwall.model.PeerMessage
@@ -41,12 +42,17 @@
     private val windows =
         UsageWindows(settings.windowSeconds * MILLIS_PER_SECOND, settings.lateSeconds * MILLIS_PER_SECOND)
     private val keys = LeadershipKeys(GatewayKeys.USAGE_LEADER, GatewayKeys.LAST_USAGE_LEADER)
+    private val vacancy =
+        LeadershipVacancy(keys, dependencies.node, clock) {
+            leaderCandidates(dependencies.gatewayState.members.read(), dependencies.sharedFromMembers)
+        }
     private val leadership =
         Leadership(
             "usage",
             LeadershipDependencies(dependencies.node, dependencies.store, clock, dependencies.journal),
             settings.leaseTtlSeconds,
             keys,
+            watched = { vacancy.watched },
         )
 
     /**
@@ -64,7 +70,6 @@
             ),
             receivers = "usage_api",
         )
-    private val vacancy = LeadershipVacancy(keys, dependencies.node, clock)
     private val metrics = UsageMetrics(dependencies.metrics) { leader?.unsent?.size ?: 0 }
     private val recorded = RecordedStarts(clock, dependencies.driver.workspaceOf, metrics::started)
     private val mirrored = MirroredStarts(clock)
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
@@ -18,12 +18,16 @@
  *
  * The fencing token is the revision at which the lease's key was created, so a later leader has a higher one. An order
  * may be sent only while [mayAct] is true, which depends on [holding] and this process's own monotonic clock.
+ *
+ * [watched] returns the keys as a watch knows them, so that they need not be read, or null. If they have changed since,
+ * the transaction that acquires the lease is declined, and they are read before the next one.
  */
 public class Leadership(
     public val name: String,
     dependencies: LeadershipDependencies,
     private val ttlSeconds: Long,
     private val keys: LeadershipKeys = LeadershipKeys(SharedKeys.leadership(name)),
+    private val watched: () -> WatchedLeadership? = { null },
 ) {
     private val node = dependencies.node
     private val store = dependencies.store
@@ -32,6 +36,8 @@
 
     private class LastHolder(val key: String, val entry: KeyValueEntry?)
 
+    /** Whether an attempt to acquire the lease with what the watch knows has failed. */
+    private var watchFailed = false
     private var lease: LeaseId? = null
     private var leaseRevision = 0L
 
@@ -101,15 +107,30 @@
     }
 
     private suspend fun acquire() {
+        val known = watched().takeUnless { watchFailed }
+        when {
+            known == null -> readAndAcquire()
+            known.lease == null || known.lease.value == node.value -> {
+                acquire(known.lease, keys.lastHolder?.let { LastHolder(it, known.lastHolder) })
+                watchFailed = holding == null
+            }
+        }
+    }
+
+    private suspend fun readAndAcquire() {
         val response = store.get(keys.lease)
         val entry = response.get()
         // An entry that names this process stems from an earlier incarnation, or from a lease that it considered lost.
-        if (response.isOk && (entry == null || entry.value == node.value)) acquire(entry)
+        if (!response.isOk || entry != null && entry.value != node.value) return
+        val last = keys.lastHolder?.let { key -> store.get(key).fold({ LastHolder(key, it) }, { return }) }
+        acquire(entry, last)
     }
 
-    /** Acquires the leadership if the lease's key is still as read, absent or as in [entry]. */
-    private suspend fun acquire(entry: KeyValueEntry?) {
-        val last = keys.lastHolder?.let { key -> store.get(key).fold({ LastHolder(key, it) }, { return }) }
+    /** Acquires the leadership if the keys are still absent or as in [entry] and [last]. */
+    private suspend fun acquire(
+        entry: KeyValueEntry?,
+        last: LastHolder?,
+    ) {
         val requestedAtMillis = clock.monotonicMillis()
         val granted = store.grantLease(ttlSeconds).get() ?: return
         val conditions = listOfNotNull(conditionOf(keys.lease, entry), last?.let { conditionOf(it.key, it.entry) })
@@ -118,6 +139,7 @@
         if (outcome is TransactionOutcome.Committed) {
             val ttlMillis = ttlSeconds * MILLIS_PER_SECOND
             lease = granted
+            watchFailed = false
             leaseRevision = outcome.revision
             actedLast = last?.entry?.value == node.value
             predecessorResigned = last?.entry?.value == LeadershipKeys.RESIGNED
