List batches at the start, and read ownership records, less often in large fleets

Each process that started listed all batches to look for orphans, although only the assigned owner of a route adopts them. In a large fleet, the assigned owners and three other processes search now (StartSearch). The loss of a member still makes all processes search.

In a large fleet they read it after 1,400 ms, so that a read of up to 500 ms ends 100 ms before the proof is too old to send items, and after 2,400 ms while nothing waits to be sent, so that it ends within batches.endMillis. What a proof allows, and for how long, is unchanged.

OrphanAdopterTest: 2 listings before, 0 now for a process that is not chosen.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -168,6 +168,7 @@
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
             starts = usage?.recorder ?: StartRecorder.NONE,
             account = drivers.account,
+            isLargeFleet = { gatewayState.members.read().members.size >= settings.follow.sharedFromMembers },
         )
 
     /** Sends requests to targets for peers that can't reach them. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.decisions.batches.OwnershipDemand
 import bergamotwall.decisions.batches.OwnershipPolicy
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.ClockReading
@@ -28,8 +29,9 @@
     /** Whether items may be sent. */
     val mayStartWork: Boolean get() = policy.mayStartWork(ageMillis, failureAgeMillis)
 
-    /** Time until the record is to be read again, not positive if that is due. */
-    val untilCheckMillis: Long get() = policy.untilCheckMillis(ageMillis, failureAgeMillis)
+    /** Time until the record is to be read again for [demand], not positive if that is due. */
+    fun untilCheckMillis(demand: OwnershipDemand): Long =
+        policy.untilCheckMillis(ageMillis, failureAgeMillis, demand)
 
     /** Duration of a check after which it counts as failed. */
     val checkTimeoutMillis: Long get() = policy.checkTimeoutMillis
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -48,6 +48,8 @@
     /** Batches that another build has written in a form that this one can't read. */
     private val unreadable = HashSet<BatchId>()
 
+    private val startSearch = StartSearch(dependencies)
+
     init {
         scope.launchSupervised("orphans") {
             while (true) {
@@ -75,7 +77,8 @@
                 val now = members[old.id]
                 old.ready && (now == null || !now.ready || now.incarnation != old.incarnation)
             }
-        if (lost || before == null) searchRequests.trySend(Unit)
+        if (lost) startSearch.orphansExpected = true
+        if (lost || before == null || startSearch.due) searchRequests.trySend(Unit)
     }
 
     /**
@@ -84,11 +87,16 @@
      */
     fun watchUnconfirmed(id: BatchId) {
         unconfirmedUntilMillis[id] = dependencies.shared.clock.monotonicMillis() + LATE_WRITE_WINDOW_MILLIS
+        startSearch.orphansExpected = true
         searchRequests.trySend(Unit)
     }
 
-    /** Requests a search if any batch was left because no route matched it. */
+    /**
+     * Requests a search if any batch was left because no route matched it, or this process becomes the assigned owner
+     * of a route in a large fleet and has not searched yet.
+     */
     fun routesChanged() {
+        if (startSearch.due) searchRequests.trySend(Unit)
         if (unroutable.isEmpty()) return
         unroutable.clear()
         searchRequests.trySend(Unit)
@@ -97,7 +105,11 @@
     /** Adopts the orphans that are assigned to this process; returns true if another search is needed. */
     private suspend fun search(): Boolean =
         !dependencies.self().ready ||
-            store.ownerships().fold({ adoptFrom(it) }) {
+            !startSearch.leftToOthers &&
+            store.ownerships().fold({
+                startSearch.done = true
+                adoptFrom(it)
+            }) {
                 Logger.warn("event=orphans_not_listed cause=\"{}\"", it.detail)
                 true
             }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -98,6 +98,17 @@
     /** Texts that wait to be stored durably, so that they can be scored. */
     val pendingTexts: List<ItemResult> get() = pendingForScoring
 
+    /** Whether an item waits to be sent, or its text for a reward call. */
+    val hasWaitingWork: Boolean
+        get() =
+            items.values.any { item ->
+                when (item.phase) {
+                    ItemPhase.Generating -> !item.running
+                    is ItemPhase.AwaitingScore -> item.reward?.job == null
+                    else -> false
+                }
+            }
+
     /** Number of items of [group] whose texts are not complete. */
     fun ungenerated(group: String): Int =
         items.values.count { it.spec.group == group && it.phase == ItemPhase.Generating }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -28,7 +28,7 @@
     val retained = RetainedBatches(settings.retainedChars)
     private val policy = OwnershipPolicy(settings.endMillis)
     private val checks: OwnershipChecks =
-        OwnershipChecks(scope, store, retained::all, ::ownershipRead, onFailed = ::wake)
+        OwnershipChecks(scope, store, retained::all, ::ownershipRead, onFailed = ::wake, dependencies.isLargeFleet)
     private val resultAppender: ResultAppender =
         ResultAppender(scope, store, settings, ::ownershipRead, onTextsStored = { rewardDispatcher.wake() })
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnershipChecks.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnershipChecks.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.decisions.batches.OwnershipDemand
 import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
@@ -13,8 +14,9 @@
 /**
  * Reads the ownership records of owned batches when nothing else has proven for a while that they are unchanged:
  * another process may have taken over or ended a batch without reaching this one. [onRead] is called with each record
- * and the time at which it was requested, [onFailed] if there was no response. Confined to the batch loop, on which
- * [scope] runs.
+ * and the time at which it was requested, [onFailed] if there was no response. In a large fleet ([isLargeFleet]) the
+ * records are read less often, most of all while no work of a batch waits to be sent. Confined to the batch loop, on
+ * which [scope] runs.
  */
 internal class OwnershipChecks(
     private val scope: CoroutineScope,
@@ -22,6 +24,7 @@
     private val batches: () -> Collection<OwnedBatch>,
     private val onRead: (OwnedBatch, OwnershipRecord?, ClockReading) -> Unit,
     private val onFailed: () -> Unit,
+    private val isLargeFleet: () -> Boolean,
 ) {
     private val checks = HashMap<OwnedBatch, Job>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
@@ -49,11 +52,25 @@
 
     /** Returns the time until the next check is due, null if no batch is to be checked. */
     private fun startDue(): Long? {
+        val large = isLargeFleet()
         val open = batches().filterNot { it.settled }
-        open.filter { it.known.untilCheckMillis <= 0 }.forEach { start(it) }
-        return open.minOfOrNull { it.known.untilCheckMillis.coerceAtLeast(SHORTEST_PAUSE_MILLIS) }
+        val dueMillis = open.associateWith { it.known.untilCheckMillis(demandOf(it, large)) }
+        dueMillis.filterValues { it <= 0 }.keys.forEach { start(it) }
+        // Work may begin to wait at any time.
+        val longestPauseMillis = if (large) RECHECK_MILLIS else Long.MAX_VALUE
+        return dueMillis.values.minOrNull()?.coerceIn(SHORTEST_PAUSE_MILLIS, longestPauseMillis)
     }
 
+    private fun demandOf(
+        batch: OwnedBatch,
+        large: Boolean,
+    ): OwnershipDemand =
+        when {
+            !large -> OwnershipDemand.USUAL
+            batch.active && batch.hasWaitingWork -> OwnershipDemand.STARTING_WORK
+            else -> OwnershipDemand.RUNNING_WORK
+        }
+
     private fun start(batch: OwnedBatch): Job =
         checks[batch] ?: scope.launch { read(batch) }.also { check ->
             checks[batch] = check
@@ -87,5 +104,8 @@
     private companion object {
         /** While a check is in progress, its batch stays due. */
         private const val SHORTEST_PAUSE_MILLIS = 100L
+
+        /** The usual time between two looks at the waiting items. */
+        private const val RECHECK_MILLIS = 250L
     }
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -14,7 +14,8 @@
 
 /**
  * Dependencies of everything that sends requests to targets. [dataCentre] is the data centre of this process; what is
- * held of requests and responses counts in [account].
+ * held of requests and responses counts in [account]. [isLargeFleet] tells whether the fleet has so many members that
+ * its processes make fewer calls to the key-value service.
  */
 public data class TargetDependencies(
     public val gatewayState: GatewayState,
@@ -30,6 +31,7 @@
     public val departures: Departures = Departures(gatewayState, client, metrics),
     public val starts: StartRecorder = StartRecorder.NONE,
     public val account: MemoryAccount = MemoryAccount(),
+    public val isLargeFleet: () -> Boolean = { false },
 ) {
     /** Input for the placement policy: the current state of [targets] for requests of [purpose]. */
     internal fun candidates(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -155,6 +155,9 @@
     /** Settings of the process under test. */
     var settings = BatchSettings()
 
+    /** Whether the process under test counts its fleet as large. */
+    var largeFleet = false
+
     /** Decisions of the process under test. */
     val journal = Journal(NodeId("self"), clock)
 
@@ -205,6 +208,7 @@
                     dataCentre = self.dataCentre,
                     metrics = GatewayMetrics(),
                     limits = TargetLimits(self.id, gatewayState, loads, journal),
+                    isLargeFleet = { largeFleet },
                 ),
                 forwarder = { request, route -> forward(request, route) },
             )
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphanAdopterTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/OrphanAdopterTest.kt
@@ -1,5 +1,7 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.decisions.ownerOf
+import bergamotwall.decisions.rankOf
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.model.Alive
 import bergamotwall.model.DataCentre
@@ -68,6 +70,32 @@
         expectThat(stored.owner.value).isEqualTo(if (adopted) "self" else owner)
     }
 
+    /**
+     * Guards against listings of all batches by each process of a large fleet that starts: one at its start, and one
+     * when it first knows the members.
+     */
+    @ParameterizedTest(name = "large fleet {0}, assigned owner {1}: {2} listings")
+    @CsvSource("false, false, 2", "true, false, 0", "true, true, 2")
+    fun `few processes of a large fleet that starts search for orphans`(
+        large: Boolean,
+        assigned: Boolean,
+        listings: Int,
+    ) = runTest(fixture.dispatcher) {
+        fixture.largeFleet = large
+        val batches = fixture.batches(this)
+        val others =
+            (1..200).map { GatewayMember(NodeId("m$it"), 1, DataCentre("x"), "m$it:1", "m$it:2", ready = true) }
+                .filter { rankOf("orphans", fixture.self.id, listOf(it.id)) == 1 }
+                .filter { !assigned || ownerOf(fixture.route.name, listOf(fixture.self.id, it.id)) == fixture.self.id }
+        val first = if (assigned) emptyArray() else arrayOf(fixture.memberAssignedOverSelf())
+        fixture.setMembers(batches, *first, *others.take(5).toTypedArray())
+        advance(5_000)
+        expectThat(fixture.lists).isEqualTo(listings)
+        fixture.setMembers(batches, *first, *others.take(4).toTypedArray())
+        advance(5_000)
+        expectThat(fixture.lists).isEqualTo(listings + 1)
+    }
+
     @ParameterizedTest(name = "a member {0}: searches {1}")
     @CsvSource("joins, false", "leaves, true", "restarts, true", "is evacuated, true", "becomes ready, false")
     fun `only the loss of a member is a reason to search`(
