Let only readers that await changed targets prefer the same follower

The polls of op/ counted as urgent too, so that all readers of a data centre would have asked one follower, although the pause after a change of the configuration is short at each.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -134,15 +134,11 @@
 
     /**
      * Whether this process must learn of changes under [prefix] at once: processes that place items or order weights
-     * need to know which engines hold which version, and all need the configuration.
+     * need to know which engines hold which version. The pause after a change of the configuration is short anyway.
      */
     fun isUrgent(prefix: String): Boolean =
-        when (prefix) {
-            drivers.documents.operatorPrefix -> true
-            drivers.documents.targetPrefix ->
-                weightLeadership.leader?.value == settings.id.value || handlers.runsBatches()
-            else -> false
-        }
+        prefix == drivers.documents.targetPrefix &&
+            (weightLeadership.leader?.value == settings.id.value || handlers.runsBatches())
 
     private fun targetPauseMillis(): Long =
         if (isUrgent(drivers.documents.targetPrefix)) {
--- a/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
+++ b/runtime/src/main/kotlin/bergamotwall/runtime/Leadership.kt
@@ -157,11 +157,6 @@
         }
     }
 
-    private fun conditionOf(
-        key: String,
-        entry: KeyValueEntry?,
-    ): Condition = if (entry == null) Condition.Absent(key) else Condition.Unchanged(key, entry.modRevision)
-
     private suspend fun renew(current: LeaseHolding) {
         val currentLease = lease ?: return
         val requestedAtMillis = clock.monotonicMillis()
@@ -187,3 +182,8 @@
         private const val MARGIN_DIVISOR = 4
     }
 }
+
+private fun conditionOf(
+    key: String,
+    entry: KeyValueEntry?,
+): Condition = if (entry == null) Condition.Absent(key) else Condition.Unchanged(key, entry.modRevision)
