--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -149,6 +149,7 @@
                     random = random,
                     journal = journal,
                     metrics = metrics,
+                    sharedFromMembers = settings.follow.sharedFromMembers,
                 )
             UsageReporting(dependencies, usageSettings, eventLoop)
         }
@@ -167,6 +168,7 @@
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
             starts = usage?.recorder ?: StartRecorder.NONE,
             account = drivers.account,
+            isLargeFleet = { gatewayState.members.read().members.size >= settings.follow.sharedFromMembers },
         )
 
     /** Sends requests to targets for peers that can't reach them. */
@@ -222,6 +224,7 @@
                 drivers.clock,
                 outages,
                 metrics,
+                isUrgent = { watches.isUrgent(it) },
             ),
             settings.follow,
         )
@@ -252,6 +255,7 @@
                 LeadershipDependencies(settings.id, store, drivers.clock, journal),
                 settings.weights.leaseTtlSeconds,
                 LeadershipKeys(GatewayKeys.WEIGHT_LEADER, GatewayKeys.LAST_WEIGHT_LEADER),
+                watched = { watches.watchedLeadership },
             ),
             settings.weights,
         )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.duties.LeadershipVacancy
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.MemberList
+import bergamotwall.gateway.members.leaderCandidates
 import bergamotwall.gateway.news.SharedWatches
 import bergamotwall.gateway.store.DecodedEntries
 import bergamotwall.gateway.store.GatewayKeys
@@ -16,6 +17,7 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.isAddress
 import bergamotwall.runtime.LeadershipKeys
+import bergamotwall.runtime.WatchedLeadership
 import kotlinx.coroutines.CoroutineScope
 import org.tinylog.Logger
 
@@ -87,7 +89,10 @@
             LeadershipKeys(GatewayKeys.WEIGHT_LEADER, GatewayKeys.LAST_WEIGHT_LEADER),
             settings.id,
             drivers.clock,
-        )
+        ) { leaderCandidates(gatewayState.members.read(), watchSettings.sharedFromMembers) }
+
+    /** The leadership for weight orders as the watch knows it; null if it must be read. */
+    val watchedLeadership: WatchedLeadership? get() = weightLeadership.watched
 
     /** Whether this process should try to become the leader that sends weight orders, because there is none. */
     fun shouldAcquireLeadership(): Boolean = weightLeadership.shouldAcquire()
@@ -127,9 +132,16 @@
             watchSettings.longestMemberPauseMillis,
         )
 
-    /** Processes that place items or order weights need to know at once which engines hold which version. */
+    /**
+     * Whether this process must learn of changes under [prefix] at once: processes that place items or order weights
+     * need to know which engines hold which version. The pause after a change of the configuration is short anyway.
+     */
+    fun isUrgent(prefix: String): Boolean =
+        prefix == drivers.documents.targetPrefix &&
+            (weightLeadership.leader?.value == settings.id.value || handlers.runsBatches())
+
     private fun targetPauseMillis(): Long =
-        if (weightLeadership.leader?.value == settings.id.value || handlers.runsBatches()) {
+        if (isUrgent(drivers.documents.targetPrefix)) {
             watchSettings.targetPauseMillis
         } else {
             newsPauseMillis(
