Move items off targets that are much slower than others

Cause: an item stays at its target until it ends or the target has sent nothing for 2.5 s. Change: itemsToMove chooses runs that end earlier at another target; the run is ended and resumed there after its last event. Applies where targets report a slowdown. Ruled out: waiting for slots (items start within 200 ms of the submission).

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -50,7 +50,9 @@
     private val loop: CoroutineDispatcher,
 ) {
     private val store = BatchStore(dependencies.store)
-    private val runner = ItemRunner(dependencies.shared, settings.silenceMillis)
+    private val paces = EventPaces()
+    private val runner = ItemRunner(dependencies.shared, settings.silenceMillis, paces)
+    private val mover = ItemMover(dependencies.shared, paces)
     private val loopScope = CoroutineScope(scope.coroutineContext + loop)
     internal val ownedBatches =
         OwnedBatches(
@@ -58,7 +60,7 @@
             store,
             dependencies.shared,
             settings,
-            { onItemEnded -> ItemDispatcher(loopScope, dependencies.shared, runner, onItemEnded) },
+            { onItemEnded -> ItemDispatcher(loopScope, dependencies.shared, runner, mover, onItemEnded) },
             { onItemDone ->
                 val caller = RewardCaller(dependencies.forwarder, dependencies.shared)
                 RewardDispatcher(loopScope, dependencies.shared, caller, settings.rewards, onItemDone)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -2,13 +2,10 @@
 
 import bergamotwall.decisions.admission.backoffMillis
 import bergamotwall.decisions.batches.ItemAssignment
-import bergamotwall.decisions.batches.ItemPriority
-import bergamotwall.decisions.batches.WaitingItem
 import bergamotwall.decisions.batches.assignItems
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
-import bergamotwall.gateway.workspaces.Workspaces
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.launchSupervised
@@ -18,7 +15,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.tinylog.Logger
 
 /**
  * Sends the items of all owned batches to targets as slots become free. [onItemEnded] is called with the batch of each
@@ -28,6 +24,7 @@
     private val scope: CoroutineScope,
     private val dependencies: TargetDependencies,
     private val runner: ItemRunner,
+    private val mover: ItemMover,
     private val onItemEnded: (OwnedBatch) -> Unit,
 ) {
     private val batches = ArrayList<OwnedBatch>()
@@ -37,6 +34,7 @@
         scope.launchSupervised("items") {
             while (true) {
                 dispatchWaitingItems()
+                mover.step(batches)
                 if (batches.isEmpty()) wake.receive() else withTimeoutOrNull(RECHECK_PERIOD_MILLIS) { wake.receive() }
             }
         }
@@ -88,6 +86,8 @@
         dispatched.item.sentAtMillis = nowMillis
         dispatched.item.resumedAfter = dispatched.item.lastEventId
         dispatched.item.running = true
+        dispatched.item.progressAtMillis = nowMillis
+        dispatched.item.target = target.id
         dispatched.item.attempts++
         dispatched.batch.groupTargets[dispatched.item.spec.group] = target.id
         scope.launch {
@@ -96,6 +96,8 @@
                     runner.run(dispatched.batch, dispatched.item, target)
                 }
             dispatched.item.running = false
+            dispatched.item.target = null
+            dispatched.item.moving = false
             dispatched.item.endedAtMillis = dependencies.clock.monotonicMillis()
             handleOutcome(dispatched, target, outcome)
             wake()
@@ -120,6 +122,7 @@
             }
             is ItemOutcome.NotRun -> retryLater(item, target, outcome.full)
             is ItemOutcome.Broken -> retryLater(item, target)
+            ItemOutcome.Moved -> item.lastFailedTarget = target.id
             is ItemOutcome.Unfit -> {
                 // The version of the received text may never be loaded at any target again, so the item starts over.
                 if (outcome.version >= batch.record.minVersion) item.discardText()
@@ -173,68 +176,10 @@
         )
     }
 
-    /** An item that can be sent now, with its batch. */
-    private data class DispatchableItem(val batch: OwnedBatch, val item: ItemState) {
-        fun waitingItem(
-            ticket: Int,
-            targets: Collection<Target>,
-            workspaces: Workspaces,
-        ): WaitingItem {
-            val group = item.spec.group
-            return WaitingItem(
-                ticket = ticket,
-                dueAtMillis = batch.dueAtMillis,
-                groupOrder = batch.groupOrder.getValue(group),
-                expectedTokens = item.spec.tokens,
-                eligible = targets.filter { allows(it) }.mapTo(HashSet()) { it.id },
-                avoid = item.lastFailedTarget,
-                groupTarget = batch.groupTargets[group],
-                priority =
-                if (workspaces.active) {
-                    ItemPriority(workspaces.priorityOf(batch.record.workspace), batch.route.priority)
-                } else {
-                    ItemPriority.NONE
-                },
-            )
-        }
-
-        /**
-         * Discards the text received if none of the [usable] targets may continue it, or none of the [available] ones
-         * has for [CONTINUE_WAIT_MILLIS], but one of these may start it.
-         */
-        fun startOverUnlessContinuable(
-            usable: Collection<Target>,
-            available: Collection<Target>,
-            nowMillis: Long,
-        ) {
-            if (!item.hasText || available.any { allows(it) } || available.none { allowsWeights(it) }) return
-            val waitUntilMillis = item.endedAtMillis + CONTINUE_WAIT_MILLIS
-            if (nowMillis < waitUntilMillis && usable.any { allows(it) }) return
-            Logger.info(
-                "event=item_starts_over id={} events={} software={} cause=\"no target of its software version\"",
-                item.spec.id.value,
-                item.eventCount,
-                item.softwareVersion?.value,
-            )
-            item.discardText()
-        }
-
-        private fun allows(target: Target): Boolean = item.continuesAt(target) && allowsWeights(target)
-
-        private fun allowsWeights(target: Target): Boolean {
-            val model = batch.record.model
-            val versionAllowed = model == null || target.versions[model]?.let { it >= batch.record.minVersion } == true
-            return versionAllowed && batch.route.shares.any { it.service == target.service }
-        }
-    }
-
     private companion object {
         /** Longest delay until a change that triggers no dispatch is noticed, such as the end of a target's backoff. */
         private const val RECHECK_PERIOD_MILLIS = 250L
 
-        /** Longest wait for a target that is backing off, after which generating the text again is faster. */
-        private const val CONTINUE_WAIT_MILLIS = 1_000L
-
         /**
          * Short, so that an item that a full target refused soon goes to another one. If all targets are full, the item
          * waits until one of them may be probed.
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemOutcome.kt
@@ -22,6 +22,9 @@
     /** The run failed before its end; the text received so far is kept. */
     data class Broken(val reason: String) : ItemOutcome
 
+    /** The run was ended so that the item continues at another target. */
+    data object Moved : ItemOutcome
+
     /** The run was cancelled because the batch no longer needs the item. */
     data object Cancelled : ItemOutcome
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -18,6 +18,7 @@
 internal class ItemRunner(
     private val dependencies: TargetDependencies,
     private val idleTimeoutMillis: Long,
+    private val paces: EventPaces,
 ) {
     /**
      * Sends [item] of [batch] to [target]. The run resumes after the text of earlier attempts if the batch allows that.
@@ -38,16 +39,19 @@
             )
         item.exchange = exchange
         try {
-            val outcome = receive(batch, item, target, exchange)
+            val received = receive(batch, item, target, exchange)
+            val outcome = if (item.moving && received is ItemOutcome.Broken) ItemOutcome.Moved else received
             when (outcome) {
                 ItemOutcome.Whole -> {
                     val endedAtMillis = dependencies.clock.monotonicMillis()
                     load.latency.succeeded(sentAtMillis, endedAtMillis)
                     load.latency.generated(item.eventCount - eventsBefore, sentAtMillis, endedAtMillis)
+                    paces.completed(item.eventCount)
                 }
                 is ItemOutcome.Broken -> load.failed(dependencies.clock.monotonicMillis())
                 is ItemOutcome.NotRun -> load.notRun(dependencies.clock.monotonicMillis(), outcome.full)
-                is ItemOutcome.Unfit, ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled -> Unit
+                is ItemOutcome.Unfit, ItemOutcome.ErrorAnswer, ItemOutcome.Impossible, ItemOutcome.Cancelled,
+                ItemOutcome.Moved -> Unit
             }
             return outcome
         } finally {
@@ -107,16 +111,18 @@
             head.status >= FIRST_SERVER_ERROR && metadata.signed -> ItemOutcome.ErrorAnswer
             head.status != OK || !metadata.signed || version == null -> ItemOutcome.Broken("status ${head.status}")
             !batch.allowsVersion(item, version) -> ItemOutcome.Unfit(version)
-            else -> collect(item, ItemCollector(batch, item, target, dependencies.protocol, version), exchange)
+            else -> collect(item, target, ItemCollector(batch, item, target, dependencies.protocol, version), exchange)
         }
     }
 
     private suspend fun collect(
         item: ItemState,
+        target: Target,
         collector: ItemCollector,
         exchange: TargetExchange,
     ): ItemOutcome {
         var lastEventAtMillis = dependencies.clock.monotonicMillis()
+        var first = true
         var outcome: ItemOutcome? = null
         while (outcome == null) {
             val eventCount = item.eventCount
@@ -129,7 +135,14 @@
                     is ResponsePart.Head -> ItemOutcome.Broken("second response head")
                     null -> ItemOutcome.Broken("no event for $idleTimeoutMillis ms")
                 }
-            if (item.eventCount > eventCount) lastEventAtMillis = dependencies.clock.monotonicMillis()
+            if (item.eventCount > eventCount) {
+                val nowMillis = dependencies.clock.monotonicMillis()
+                // The first one comes after the prompt was read.
+                if (!first) paces.received(target.id, nowMillis - lastEventAtMillis, item.eventCount - eventCount)
+                first = false
+                lastEventAtMillis = nowMillis
+                item.progressAtMillis = nowMillis
+            }
         }
         return outcome
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -32,6 +32,18 @@
     var failures = 0
     var running = false
 
+    /** Target of the current run; null if there is none. */
+    var target: TargetId? = null
+
+    /** Whether the current run is ended so that the item continues at another target. */
+    var moving = false
+
+    /** How often the item was moved to another target. */
+    var moves = 0
+
+    /** When the last event of the current run arrived, or the item was sent, on the monotonic clock. */
+    var progressAtMillis = 0L
+
     /** How far the item has come. */
     var phase: ItemPhase = ItemPhase.Generating
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLatency.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLatency.kt
@@ -11,6 +11,9 @@
     private val smoothedMillis = AtomicLong()
     private val speed = AtomicReference(TargetSpeed())
 
+    /** Whether the target reports that its speed varies. */
+    internal val varies: Boolean get() = speed.get().reported
+
     /** Records a report, received at [nowMillis], of a slowdown of [percent], or of none. */
     internal fun reported(
         percent: Int?,
