--- a/peers/src/test/kotlin/bergamotwall/peers/GoldenFramesTest.kt
+++ b/peers/src/test/kotlin/bergamotwall/peers/GoldenFramesTest.kt
@@ -9,8 +9,8 @@
 
 /**
  * Frames as earlier builds sent them are read, and new ones are sent in the format of the newest. The files under
- * `golden` are named for the commits that wrote them. A change of a format needs a new file, and a line in the
- * changelog: two builds run side by side during an upgrade.
+ * `golden` are named for the commits that wrote them, or for what they add. A change of a format needs a new file, and
+ * a line in the changelog: two builds run side by side during an upgrade.
  */
 internal class GoldenFramesTest {
     @ParameterizedTest(name = "{0} of {1}")
@@ -27,10 +27,12 @@
     @MethodSource("names")
     fun `the format has not changed`(name: String) {
         val frame = HexFormat.of().formatHex(encodeFrame(envelopeOf(name)))
-        expectThat(frame).isEqualTo(framesOf(COMMITS.last()).getProperty(name))
+        val newest = MESSAGES.entries.last { name in it.value }.key
+        expectThat(frame).isEqualTo(framesOf(newest).getProperty(name))
     }
 
-    private fun envelopeOf(name: String) = Envelope(1, false, null, GOLDEN_MESSAGES.getValue(name))
+    private fun envelopeOf(name: String) =
+        Envelope(1, false, null, MESSAGES.values.firstNotNullOf { it[name] })
 
     private fun framesOf(commit: String): Properties {
         val resource = checkNotNull(javaClass.getResource("/golden/$commit.properties")) { "no frames of $commit" }
@@ -38,13 +40,14 @@
     }
 
     private companion object {
-        /** Oldest first. */
-        private val COMMITS = listOf("3bad907")
+        /** Messages in the file of each name, oldest first. */
+        private val MESSAGES = linkedMapOf("3bad907" to GOLDEN_MESSAGES, "scaling" to SCALING_MESSAGES)
 
         @JvmStatic
-        fun names(): Set<String> = GOLDEN_MESSAGES.keys
+        fun names(): Set<String> = MESSAGES.values.flatMapTo(LinkedHashSet()) { it.keys }
 
         @JvmStatic
-        fun cases(): List<Array<Any>> = COMMITS.flatMap { commit -> GOLDEN_MESSAGES.keys.map { arrayOf(it, commit) } }
+        fun cases(): List<Array<Any>> =
+            MESSAGES.flatMap { (file, messages) -> messages.keys.map { arrayOf(it, file) } }
     }
 }
--- a/peers/src/test/kotlin/bergamotwall/peers/GoldenMessages.kt
+++ b/peers/src/test/kotlin/bergamotwall/peers/GoldenMessages.kt
@@ -12,12 +12,16 @@
 import bergamotwall.model.ItemId
 import bergamotwall.model.ItemResult
 import bergamotwall.model.ItemSpec
+import bergamotwall.model.NodeId
 import bergamotwall.model.NotOwner
 import bergamotwall.model.PeerMessage
 import bergamotwall.model.PeerRefusal
 import bergamotwall.model.Problem
 import bergamotwall.model.ProblemKind
 import bergamotwall.model.ReadBatch
+import bergamotwall.model.ScalingDemand
+import bergamotwall.model.ServiceDemand
+import bergamotwall.model.ServiceName
 import bergamotwall.model.StoreChange
 import bergamotwall.model.StoreChanges
 import bergamotwall.model.StoreCommit
@@ -74,3 +78,16 @@
         StoreChanges(listOf(StoreChange("k", entry), StoreChange("d", null)), 6),
         StoreFailure(StoreFailureKind.UNAVAILABLE, "status 503", true),
     ).associateBy { it::class.simpleName.orEmpty() }
+
+/** Messages that were added for ordering targets. */
+internal val SCALING_MESSAGES: Map<String, PeerMessage> =
+    listOf(
+        ScalingDemand(
+            NodeId("n"),
+            listOf(
+                ServiceDemand(ServiceName("s"), 12, 3, 850, 2_400, listOf(16, 4), listOf(9_000, -1)),
+                ServiceDemand(ServiceName("t"), runningRequests = 1),
+            ),
+            relayed = true,
+        ),
+    ).associateBy { it::class.simpleName.orEmpty() }
