Order targets where the platform assigns the task

One leader stores each number before it sends it, with paced retries of the newest number only; other processes report their demand. Off unless the settings have scaling and the configuration of a service has it, too.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -17,6 +17,9 @@
 import bergamotwall.gateway.relays.RelayPeer
 import bergamotwall.gateway.relays.RelayedTargetClient
 import bergamotwall.gateway.relays.TargetRelay
+import bergamotwall.gateway.scaling.ScalingDependencies
+import bergamotwall.gateway.scaling.TargetScaling
+import bergamotwall.gateway.scaling.WorkRecorder
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.RelayFailover
 import bergamotwall.gateway.store.RelayedStore
@@ -167,6 +170,7 @@
             limits = TargetLimits(settings.id, gatewayState, loads, journal),
             starts = usage?.recorder ?: StartRecorder.NONE,
             account = drivers.account,
+            work = WorkRecorder(drivers.clock, enabled = settings.scaling != null),
         )
 
     /** Sends requests to targets for peers that can't reach them. */
@@ -209,6 +213,25 @@
             scope,
             eventLoop,
         )
+    private val scaling: TargetScaling? =
+        settings.scaling?.let { scalingSettings ->
+            val dependencies =
+                ScalingDependencies(
+                    node = settings.id,
+                    gatewayState = gatewayState,
+                    store = store,
+                    peers = drivers.peers,
+                    api = requireNotNull(drivers.scaling) { "no driver for ordering targets" },
+                    clock = drivers.clock,
+                    random = random,
+                    journal = journal,
+                    metrics = metrics,
+                    work = targetDependencies.work,
+                    waitingItems = { batches.waitingItems },
+                    targetsConfirmedAtMillis = { watches.targetsConfirmedAtMillis },
+                )
+            TargetScaling(dependencies, scalingSettings, eventLoop)
+        }
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
     private val sharedWatches =
         SharedWatches(
@@ -236,6 +259,7 @@
                 crashes.onStoreChanged(entries)
                 limitPublisher.onStoreChanged(entries)
                 usage?.onStoreChanged(entries)
+                scaling?.onStoreChanged(entries)
                 val wasReady = ready
                 streamOrigins.onStoreChanged(entries)
                 if (ready != wasReady) registration.changed()
@@ -311,6 +335,7 @@
             hasPaths = { !targetClient.cutOff },
         )
         usage?.start(CoroutineScope(scope.coroutineContext + eventLoop)) { settings.frontAddress != null && ready }
+        scaling?.start(CoroutineScope(scope.coroutineContext + eventLoop)) { settings.frontAddress != null && ready }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
@@ -320,6 +345,7 @@
         Logger.info("event=leaving id={}", settings.id.value)
         weightRollout.release()
         usage?.release()
+        scaling?.release()
         batches.release()
         streamOrigins.publish()
         registration.end()
@@ -397,6 +423,7 @@
                 relay.handle(message)
                     ?: sharedWatches.handle(message)
                     ?: usage?.handle(message)
+                    ?: scaling?.handle(message)
                     ?: batches.handle(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewayDrivers.kt
@@ -7,6 +7,7 @@
 import bergamotwall.drivers.http.MemoryAccount
 import bergamotwall.gateway.http.TargetClient
 import bergamotwall.gateway.routes.RouteTable
+import bergamotwall.gateway.scaling.ScalingApi
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetProtocol
 import bergamotwall.gateway.usage.UsageDriver
@@ -29,6 +30,8 @@
     public val documents: SharedDocuments,
     /** Required if usage is reported. */
     public val usage: UsageDriver? = null,
+    /** Required if targets are ordered. */
+    public val scaling: ScalingApi? = null,
     public val account: MemoryAccount = MemoryAccount(),
 )
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/GatewaySettings.kt
@@ -6,6 +6,8 @@
 import bergamotwall.gateway.intake.IntakeSettings
 import bergamotwall.gateway.intake.validateIntakeSettings
 import bergamotwall.gateway.relays.RelaySettings
+import bergamotwall.gateway.scaling.ScalingSettings
+import bergamotwall.gateway.scaling.validateScalingSettings
 import bergamotwall.gateway.streams.StreamSettings
 import bergamotwall.gateway.usage.UsageSettings
 import bergamotwall.gateway.weights.WeightSettings
@@ -61,6 +63,8 @@
     val workspaces: WorkspaceSettings = WorkspaceSettings(),
     /** Reports on usage; null to disable. */
     val usage: UsageSettings? = null,
+    /** Ordering of targets; null to disable. */
+    val scaling: ScalingSettings? = null,
     val intake: IntakeSettings = IntakeSettings(),
 ) {
     /** Time from SIGTERM in which every request is accepted: callers have not learned of the departure yet. */
@@ -171,6 +175,7 @@
         check(isAddress(usage.address), "usage.address", "is not host:port", "use the address of the platform's API")
         check(usage.windowSeconds > 0 && usage.lateSeconds > 0, "usage.windowSeconds", "is not positive", "use 5")
     }
+    problems += validateScalingSettings(settings.scaling, source)
     check(settings.batches.partChars > 0, "batches.partChars", "is not positive", "use 400000")
     val revokeMillis = settings.workspaces.revokeMillis
     check(revokeMillis == null || revokeMillis >= 1, "workspaces.revokeMillis", "is not positive", "use 5000")
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -77,6 +77,15 @@
     /** Whether this process runs any batch. */
     public val runsAny: Boolean get() = ownedBatches.runsAny
 
+    /** Items whose text is not complete, by batch. Must be called on the batch loop. */
+    internal val waitingItems: List<WaitingItems>
+        get() =
+            ownedBatches.active.mapNotNull { batch ->
+                val count = batch.items.values.count { it.phase == ItemPhase.Generating }
+                val due = batch.dueAtMillis.takeIf { (batch.route.batch?.runTargetMillis ?: 0) > 0 }
+                if (count == 0) null else WaitingItems(batch.route.shares, count, due)
+            }
+
     /** Stores [record] durably and runs it, at the assigned owner of [route] or at this process. */
     public suspend fun submit(
         record: BatchRecord,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -43,6 +43,7 @@
                 ItemOutcome.Whole -> {
                     val endedAtMillis = dependencies.clock.monotonicMillis()
                     load.latency.succeeded(sentAtMillis, endedAtMillis)
+                    if (eventsBefore == 0) dependencies.work.itemCompleted(target.service, endedAtMillis - sentAtMillis)
                     load.latency.generated(item.eventCount - eventsBefore, sentAtMillis, endedAtMillis)
                 }
                 is ItemOutcome.Broken -> load.failed(dependencies.clock.monotonicMillis())
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/AttemptRunner.kt
@@ -51,13 +51,20 @@
                 removesKey = request.removesKey,
             )
         val run = ObservedRun(dependencies.starts, dependencies.clock, request, stream, sentAtMillis)
+        val work = dependencies.work.sent(target.service, sentAtMillis, deadlineAtMillis)
         val exchange = dependencies.client.send(target.address, dependencies.protocol.request(call, target))
         var streaming = false
         try {
-            val outcome = receive(exchange, Attempt(target, call.requestId, stream, sentAtMillis, run))
+            var outcome = receive(exchange, Attempt(target, call.requestId, stream, sentAtMillis, run))
             when (outcome) {
-                is AttemptOutcome.Complete -> load.latency.succeeded(sentAtMillis, dependencies.clock.monotonicMillis())
-                is AttemptOutcome.StreamStarted -> streaming = true
+                is AttemptOutcome.Complete -> {
+                    load.latency.succeeded(sentAtMillis, dependencies.clock.monotonicMillis())
+                    work.ended(completed = true)
+                }
+                is AttemptOutcome.StreamStarted -> {
+                    streaming = true
+                    outcome = AttemptOutcome.StreamStarted(outcome.head, work.observe(outcome.exchange))
+                }
                 is AttemptOutcome.NotRun -> load.notRun(dependencies.clock.monotonicMillis(), outcome.full)
                 is AttemptOutcome.Broken -> load.failed(dependencies.clock.monotonicMillis())
             }
@@ -65,7 +72,10 @@
         } finally {
             load.ended()
             run.ended()
-            if (!streaming) exchange.cancel()
+            if (!streaming) {
+                work.ended(completed = false)
+                exchange.cancel()
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -187,7 +187,12 @@
             refusals++
             delay(limits.refusedPauseMillis * refusals)
             if (refusals <= MAX_REFUSALS && continueAttempts(scope)) return null
-            return if (mayHaveRun) ForwardOutcome.Failed(outcome.reason, failedRuns) else notRun(outcome.reason)
+            return if (mayHaveRun) {
+                ForwardOutcome.Failed(outcome.reason, failedRuns)
+            } else {
+                dependencies.work.refused(service)
+                notRun(outcome.reason)
+            }
         }
 
         private fun onBroken(
@@ -241,6 +246,7 @@
             dependencies.clock.monotonicMillis(),
         )
         return if (waitMillis == 0L) {
+            dependencies.work.refused(service)
             ForwardOutcome.NotRun("service ${service.value} has no usable target", limits.retryAfterMillis)
         } else {
             val retryAfterMillis = minOf(waitMillis, limits.maxLimitRetryAfterMillis)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/routes/RouteTable.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.routes
 
+import bergamotwall.decisions.scaling.ScalingTerms
 import bergamotwall.gateway.workspaces.Workspaces
 import bergamotwall.model.ConfigurationRevision
 import bergamotwall.model.ModelName
@@ -41,9 +42,13 @@
     public fun serviceOf(model: ModelName): TargetService? = services.firstOrNull { model in it.models }
 }
 
-/** A service that routes forward to. [models] is empty for a plain service. */
+/**
+ * A service that routes forward to. [models] is empty for a plain service. [scaling] is null if no targets of the
+ * service are ordered.
+ */
 public data class TargetService(
     val name: ServiceName,
     val maxConnections: Int,
     val models: List<ModelName> = emptyList(),
+    val scaling: ScalingTerms? = null,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/store/GatewayKeys.kt
@@ -38,6 +38,15 @@
     /** Prefix of the reports on usage, by window. */
     public const val USAGE: String = "bergamotwall/usage/"
 
+    /** Lease key of the leader that orders targets. */
+    public const val SCALING_LEADER: String = "${LIVE}duties/scaling"
+
+    /** Key whose entry names the last leader that ordered targets; outlives its lease. */
+    public const val LAST_SCALING_LEADER: String = "${LIVE}last/scaling"
+
+    /** Prefix of the ordered numbers of targets, by service and data centre. */
+    public const val SCALING: String = "bergamotwall/scaling/"
+
     private const val ITEMS = "bergamotwall/batch-items/"
     private const val RESULTS = "bergamotwall/batch-results/"
     private const val TEXTS = "bergamotwall/batch-texts/"
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/Target.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/Target.kt
@@ -9,7 +9,8 @@
 
 /**
  * A target as registered by itself. [startedAtMillis] is its start time, which distinguishes its incarnations; null if
- * not reported. [softwareVersion] is null if not reported.
+ * not reported. [softwareVersion] is null if not reported. [spot]: the platform may reclaim it; [leavesInMillis] is
+ * the time that was left when it registered as leaving.
  */
 public data class Target(
     val id: TargetId,
@@ -21,4 +22,6 @@
     val versions: Map<ModelName, WeightVersion> = emptyMap(),
     val startedAtMillis: Long? = null,
     val softwareVersion: SoftwareVersion? = null,
+    val spot: Boolean = false,
+    val leavesInMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -5,6 +5,7 @@
 import bergamotwall.gateway.GatewayMetrics
 import bergamotwall.gateway.GatewayState
 import bergamotwall.gateway.http.TargetClient
+import bergamotwall.gateway.scaling.WorkRecorder
 import bergamotwall.gateway.usage.StartRecorder
 import bergamotwall.model.DataCentre
 import bergamotwall.runtime.Clock
@@ -30,6 +31,7 @@
     public val departures: Departures = Departures(gatewayState, client, metrics),
     public val starts: StartRecorder = StartRecorder.NONE,
     public val account: MemoryAccount = MemoryAccount(),
+    public val work: WorkRecorder = WorkRecorder(clock),
 ) {
     /** Input for the placement policy: the current state of [targets] for requests of [purpose]. */
     internal fun candidates(
--- a/gateway/src/test/kotlin/bergamotwall/gateway/golden/GoldenRecord.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/golden/GoldenRecord.kt
@@ -3,6 +3,7 @@
 import bergamotwall.gateway.crashes.StoredInterruption
 import bergamotwall.gateway.limits.SharedLimit
 import bergamotwall.gateway.members.GatewayMember
+import bergamotwall.gateway.scaling.ScalingRecord
 import bergamotwall.gateway.streams.StreamOrigin
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
@@ -124,6 +125,12 @@
             ),
             since = "workspaces",
         ),
+        GoldenRecord(
+            "ordered-targets",
+            ScalingRecord.serializer(),
+            ScalingRecord(6, 2, 1_700_000_000_000),
+            since = "scaling"
+        ),
         GoldenRecord("limit", SharedLimit.serializer(), SharedLimit(12.5)),
         GoldenRecord(
             "stream-origin",
--- a/gateway/src/test/kotlin/bergamotwall/gateway/golden/GoldenRecordsTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/golden/GoldenRecordsTest.kt
@@ -47,7 +47,7 @@
 
     private companion object {
         /** Oldest first. */
-        private val FOLDERS = listOf("3bad907", "workspaces")
+        private val FOLDERS = listOf("3bad907", "workspaces", "scaling")
 
         private fun foldersOf(record: GoldenRecord<*>): List<String> =
             FOLDERS.filter { javaClass.getResource("/golden/$it/${record.name}.json") != null }
