Take an order for carried out only by what is registered once it is accepted

A number that was reached for a moment while the order was still pending made the leader order it a second time.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/scaling/OrderedPool.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/scaling/OrderedPool.kt
@@ -94,6 +94,8 @@
     fun accepted(nowMillis: Long) {
         pending = false
         acceptedAtMillis = nowMillis
+        // A number that was reached for a moment before this call is no sign that the order was carried out.
+        fulfilled = registered == ordered
     }
 
     /** The pending order was declined, and none is to be sent until [untilMillis]. */
