--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -17,6 +17,9 @@
 import bergamotwall.gateway.relays.RelayPeer
 import bergamotwall.gateway.relays.RelayedTargetClient
 import bergamotwall.gateway.relays.TargetRelay
+import bergamotwall.gateway.scaling.ScalingDependencies
+import bergamotwall.gateway.scaling.TargetScaling
+import bergamotwall.gateway.scaling.WorkRecorder
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.store.RelayFailover
 import bergamotwall.gateway.store.RelayedStore
@@ -169,6 +172,7 @@
             starts = usage?.recorder ?: StartRecorder.NONE,
             account = drivers.account,
             isLargeFleet = { gatewayState.members.read().members.size >= settings.follow.sharedFromMembers },
+            work = WorkRecorder(drivers.clock, enabled = settings.scaling != null),
         )
 
     /** Sends requests to targets for peers that can't reach them. */
@@ -211,6 +215,25 @@
             scope,
             eventLoop,
         )
+    private val scaling: TargetScaling? =
+        settings.scaling?.let { scalingSettings ->
+            val dependencies =
+                ScalingDependencies(
+                    node = settings.id,
+                    gatewayState = gatewayState,
+                    store = store,
+                    peers = drivers.peers,
+                    api = requireNotNull(drivers.scaling) { "no driver for ordering targets" },
+                    clock = drivers.clock,
+                    random = random,
+                    journal = journal,
+                    metrics = metrics,
+                    work = targetDependencies.work,
+                    waitingItems = { batches.waitingItems },
+                    targetsConfirmedAtMillis = { watches.targetsConfirmedAtMillis },
+                )
+            TargetScaling(dependencies, scalingSettings, eventLoop)
+        }
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
     private val sharedWatches =
         SharedWatches(
@@ -239,6 +262,7 @@
                 crashes.onStoreChanged(entries)
                 limitPublisher.onStoreChanged(entries)
                 usage?.onStoreChanged(entries)
+                scaling?.onStoreChanged(entries)
                 val wasReady = ready
                 streamOrigins.onStoreChanged(entries)
                 if (ready != wasReady) registration.changed()
@@ -315,6 +339,7 @@
             hasPaths = { !targetClient.cutOff },
         )
         usage?.start(CoroutineScope(scope.coroutineContext + eventLoop)) { settings.frontAddress != null && ready }
+        scaling?.start(CoroutineScope(scope.coroutineContext + eventLoop)) { settings.frontAddress != null && ready }
         Logger.info("event=started id={} incarnation={}", settings.id.value, incarnation)
     }
 
@@ -324,6 +349,7 @@
         Logger.info("event=leaving id={}", settings.id.value)
         weightRollout.release()
         usage?.release()
+        scaling?.release()
         batches.release()
         streamOrigins.publish()
         registration.end()
@@ -401,6 +427,7 @@
                 relay.handle(message)
                     ?: sharedWatches.handle(message)
                     ?: usage?.handle(message)
+                    ?: scaling?.handle(message)
                     ?: batches.handle(message)
                     ?: PeerRefusal(Problem(ProblemKind.BAD_REQUEST, "not served: ${message::class.simpleName}"))
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemMover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemMover.kt
@@ -28,10 +28,12 @@
         if (nowMillis < nextAtMillis) return
         nextAtMillis = nowMillis + PERIOD_MILLIS
         val targets = dependencies.gatewayState.targets.read()
+        val routes = dependencies.gatewayState.routes.read()
         val services = batches.flatMap { it.route.shares }.map { it.service }.distinct()
         for (service in services) {
             val usable = targets.usable(service)
-            val varies = usable.any { dependencies.loads.of(it.id).latency.varies }
+            val varies =
+                routes.service(service)?.scaling != null || usable.any { dependencies.loads.of(it.id).latency.varies }
             val ofService = batches.filter { batch -> batch.route.shares.any { it.service == service } }
             if (varies) step(ofService, usable, nowMillis)
         }
