Call targets of the own interface over one connection each, and count responses while they arrive

Seen: ResponseOfEarlierCallTest, 27 of 43 cases fail here (32 in KNOWN-RED.txt): a repeated response on a kept connection makes a later call succeed. Cause of the stall: Armeria's aggregate(), not the number of requests per connection. In a stall the connection is open, its head has been received, its automatic reading is off, the subscriber's demand is unlimited and all event loops are idle; turning reading on again ends the call. So a pause of reading, for a body that arrives faster than it is collected, is not always undone. It was not found out which of Armeria's threads overtake each other. Another fault of the same call: with aggregate(), a peekData callback sees a part only when the response is complete, so SharedBuffer limited no response in progress. Change: ResponseCollector subscribes on the event loop of the connection and counts each part when it arrives. A connection carries one request. Not measured: the price of further connections.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpCalls.kt
@@ -17,8 +17,6 @@
 import kotlinx.coroutines.future.await
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
-import java.io.IOException
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /** Limits a response that is kept in memory as a whole. */
@@ -56,15 +54,11 @@
     buffer: SharedBuffer = responses,
 ): AggregatedHttpResponse {
     val share = BufferShare(buffer)
-    val tooLarge = CompletableFuture<AggregatedHttpResponse>()
-    val counted =
-        response.peekData { data ->
-            share.add(data.length())
-            if (!share.mayGrow) tooLarge.completeExceptionally(IOException("all responses together are too large"))
-        }
-    val aggregated = counted.aggregate().orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+    val collector = ResponseCollector(share)
+    // The default executor is the event loop of the connection, which also pauses and resumes reading.
+    response.subscribe(collector)
     try {
-        return CompletableFuture.anyOf(aggregated, tooLarge).await() as AggregatedHttpResponse
+        return collector.response.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS).await()
     } finally {
         response.abort()
         share.release()
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -43,13 +43,18 @@
 /** Longer than an engine takes to process a long prompt before its first chunk. */
 private const val EVENT_IDLE_TIMEOUT_MILLIS = 60_000L
 
-/** HTTP client for targets. It uses cleartext HTTP/1.1, so that cancelling a run closes its connection immediately. */
+/**
+ * HTTP client for targets. It uses cleartext HTTP/1.1, so that cancelling a run closes its connection immediately, and
+ * a new connection for each request: responses do not name their request, so on a connection in use again a repeated
+ * response could not be told from that to the later call.
+ */
 public fun targetClient(): WebClient {
     val factory =
         ClientFactory
             .builder()
             .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
             .idleTimeout(Duration.ofSeconds(IDLE_TIMEOUT_SECONDS))
+            .maxNumRequestsPerConnection(1)
             .build()
     return WebClient
         .builder()
--- a/drivers/src/test/kotlin/bergamotwall/drivers/http/ResponseOfEarlierCallTest.kt
+++ b/drivers/src/test/kotlin/bergamotwall/drivers/http/ResponseOfEarlierCallTest.kt
@@ -13,7 +13,6 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.BeforeAll
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
@@ -44,7 +43,6 @@
         PART_OF_A_STATUS_LINE({ it.substringBefore("\r\n") + " " }),
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("cases")
     fun `a call gets the response that the target has sent to it`(case: Case) {
@@ -70,7 +68,6 @@
         }
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("calls")
     fun `each call has a connection of its own, which is closed after it`(call: Call) {
--- a/standins/src/test/kotlin/bergamotwall/standins/DriverBytesWithoutEndTest.kt
+++ b/standins/src/test/kotlin/bergamotwall/standins/DriverBytesWithoutEndTest.kt
@@ -80,7 +80,9 @@
                     mostBytes = maxOf(mostBytes, buffer.heldBytes)
                     yield()
                 }
-                expectThat(calls.awaitAll()).all { isA<TargetError.Broken>() }
+                // A limit that counts only complete responses would let each call end at its own limit instead.
+                expectThat(calls.awaitAll()).all { isA<TargetError.Broken>().get { detail }.contains("all responses") }
+                expectThat(mostBytes).isGreaterThan(0)
                 expectThat(mostBytes).isLessThan(BUFFER_BYTES + CALLS * READ_BYTES)
             }
             expectThat(buffer.heldBytes).isEqualTo(0)
