Explain where a request or a batch would be sent

The decisions that the real path combines with counting, recording or sending are separated, so that both use the same functions.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/placement/TargetChoice.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/placement/TargetChoice.kt
@@ -16,13 +16,31 @@
     excluded: Set<TargetId>,
     random: Random,
 ): CandidateTarget? {
-    val untried = candidates.filter { it.id !in excluded && it.admitted > 0 }
-    val pool = untried.filter { it.available }.ifEmpty { untried }
+    val pool = choosableTargets(candidates, excluded)
     return pool.minByOrNull { expectedMillis(it) * (1 + random.nextDouble() * TIE_SPREAD) }
 }
 
+/** The targets among which [chooseTarget] decides by their expected times. */
+public fun choosableTargets(
+    candidates: List<CandidateTarget>,
+    excluded: Set<TargetId>,
+): List<CandidateTarget> {
+    val untried = candidates.filter { it.id !in excluded && it.admitted > 0 }
+    return untried.filter { it.available }.ifEmpty { untried }
+}
+
+/** The targets that [chooseTarget] may choose, depending on its random source; the one expected to be fastest first. */
+public fun possibleChoices(
+    candidates: List<CandidateTarget>,
+    excluded: Set<TargetId>,
+): List<CandidateTarget> {
+    val pool = choosableTargets(candidates, excluded).sortedBy { expectedMillis(it) }
+    val fastest = pool.firstOrNull() ?: return emptyList()
+    return listOf(fastest) + pool.drop(1).filter { expectedMillis(it) < expectedMillis(fastest) * (1 + TIE_SPREAD) }
+}
+
 /** Expected time in milliseconds of an additional request at [target]. */
-internal fun expectedMillis(target: CandidateTarget): Double {
+public fun expectedMillis(target: CandidateTarget): Double {
     val latencyMillis = if (target.latencyMillis > 0) target.latencyMillis.toDouble() else UNKNOWN_LATENCY_MILLIS
     val slowdown = target.slowdown?.over(latencyMillis) ?: 1.0
     val remoteMillis = if (target.local) 0.0 else REMOTE_MILLIS
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -4,6 +4,9 @@
 import bergamotwall.gateway.batches.Batches
 import bergamotwall.gateway.crashes.CrashGuardDependencies
 import bergamotwall.gateway.crashes.SharedCrashGuard
+import bergamotwall.gateway.explain.Explainer
+import bergamotwall.gateway.explain.ExplainerDependencies
+import bergamotwall.gateway.explain.ForwardingView
 import bergamotwall.gateway.forwarding.Forwarder
 import bergamotwall.gateway.http.ResponseDoubt
 import bergamotwall.gateway.limits.LimitPublisher
@@ -209,6 +212,22 @@
             scope,
             eventLoop,
         )
+
+    /** Explains where a request would be sent now. */
+    public val explainer: Explainer =
+        Explainer(
+            ExplainerDependencies(
+                self = settings.id,
+                targets = targetDependencies,
+                keys = callerKeys,
+                leave = leave,
+                forwarding = ForwardingView(targetDependencies, crashes, streamOrigins, settings.forward),
+                batches = batches,
+                configuration = { configurationConfirmation },
+                configurationCurrent = { configurationCurrent },
+                targetsConfirmation = { watches.targetsConfirmation },
+            ),
+        )
     private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
     private val sharedWatches =
         SharedWatches(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/Leave.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Leave.kt
@@ -28,11 +28,15 @@
 
     /** Whether to accept a request that takes up to [longestMillis]. One that is refused must not run. */
     public fun accepts(longestMillis: Long): Boolean {
-        val accepted = elapsedMillis?.let { admission.accepts(it, longestMillis) } ?: true
+        val accepted = wouldAccept(longestMillis)
         if (!accepted) refused.inc()
         return accepted
     }
 
+    /** The same as [accepts], but a refusal is not counted. */
+    public fun wouldAccept(longestMillis: Long): Boolean =
+        elapsedMillis?.let { admission.accepts(it, longestMillis) } ?: true
+
     internal fun begin() {
         begunAt = clock.read()
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -70,6 +70,9 @@
             orphanAdopter.watchUnconfirmed(it)
         }
     private val submissionRouter = SubmissionRouter(dependencies, settings, ownedBatches, localSubmissions)
+
+    /** What would happen to submissions. */
+    internal val submissionView = SubmissionView(loop, submissionRouter, localSubmissions, ownedBatches.dispatcher)
     private val peerHandler = BatchPeerHandler(ownedBatches, submissionRouter)
     private val orphanAdopter: OrphanAdopter =
         OrphanAdopter(loopScope, dependencies, store, ownedBatches, localSubmissions)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -5,10 +5,12 @@
 import bergamotwall.decisions.batches.ItemPriority
 import bergamotwall.decisions.batches.WaitingItem
 import bergamotwall.decisions.batches.assignItems
+import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.gateway.workspaces.Workspaces
+import bergamotwall.model.BatchRecord
 import bergamotwall.model.TargetId
 import bergamotwall.runtime.Decision
 import bergamotwall.runtime.launchSupervised
@@ -74,6 +76,46 @@
         assignItems(waiting, candidates).forEach { assignment -> launch(items[assignment.ticket], assignment, usable) }
     }
 
+    /**
+     * Where the items of [record], a batch that is not submitted yet, would be sent now if this process ran it on
+     * [route]. Sends nothing and changes no state.
+     */
+    fun peek(
+        record: BatchRecord,
+        route: Route,
+    ): ItemsPeek {
+        val nowMillis = dependencies.clock.monotonicMillis()
+        val waitingItems = batches.filter { it.maySend }.flatMap { batch -> dispatchableItems(batch, nowMillis) }
+        val targets = dependencies.gatewayState.targets.read()
+        val shares = waitingItems.flatMap { it.batch.route.shares } + route.shares
+        val views =
+            shares.map { it.service }.distinct().flatMap { service ->
+                targets.usable(service).map { dependencies.view(it, SendPurpose.ITEM) }
+            }
+        val usable = views.map { it.target }
+        val workspaces = dependencies.gatewayState.routes.read().workspaces
+        val before = waitingItems.mapIndexed { ticket, item -> item.waitingItem(ticket, usable, workspaces) }
+        val eligible = usable.filter { allowsWeights(record, route, it) }.mapTo(HashSet()) { it.id }
+        val groups = record.items.map { it.group }.distinct()
+        val peeked =
+            record.items.mapIndexed { index, item ->
+                WaitingItem(
+                    ticket = before.size + index,
+                    dueAtMillis = nowMillis + (route.batch?.runTargetMillis ?: 0),
+                    groupOrder = groups.indexOf(item.group),
+                    expectedTokens = item.tokens,
+                    eligible = eligible,
+                    priority = priorityOf(workspaces, record, route),
+                )
+            }
+        val assigned =
+            assignItems(before + peeked, views.map { it.candidate })
+                .filter { it.ticket >= before.size }
+                .associate { record.items[it.ticket - before.size].id to it.target }
+        val services = route.shares.map { it.service }
+        return ItemsPeek(assigned, eligible, views.filter { it.target.service in services }, before.size)
+    }
+
     private fun launch(
         dispatched: DispatchableItem,
         assignment: ItemAssignment,
@@ -189,12 +231,7 @@
                 eligible = targets.filter { allows(it) }.mapTo(HashSet()) { it.id },
                 avoid = item.lastFailedTarget,
                 groupTarget = batch.groupTargets[group],
-                priority =
-                if (workspaces.active) {
-                    ItemPriority(workspaces.priorityOf(batch.record.workspace), batch.route.priority)
-                } else {
-                    ItemPriority.NONE
-                },
+                priority = priorityOf(workspaces, batch.record, batch.route),
             )
         }
 
@@ -221,11 +258,7 @@
 
         private fun allows(target: Target): Boolean = item.continuesAt(target) && allowsWeights(target)
 
-        private fun allowsWeights(target: Target): Boolean {
-            val model = batch.record.model
-            val versionAllowed = model == null || target.versions[model]?.let { it >= batch.record.minVersion } == true
-            return versionAllowed && batch.route.shares.any { it.service == target.service }
-        }
+        private fun allowsWeights(target: Target): Boolean = allowsWeights(batch.record, batch.route, target)
     }
 
     private companion object {
@@ -242,3 +275,26 @@
         private const val FULL_TARGET_BACKOFF_MILLIS = 50L
     }
 }
+
+/** Whether the items of [record], submitted on [route], may start at [target]. */
+internal fun allowsWeights(
+    record: BatchRecord,
+    route: Route,
+    target: Target,
+): Boolean {
+    val model = record.model
+    val versionAllowed = model == null || target.versions[model]?.let { it >= record.minVersion } == true
+    return versionAllowed && route.shares.any { it.service == target.service }
+}
+
+/** Priority of the items of [record], submitted on [route]. */
+internal fun priorityOf(
+    workspaces: Workspaces,
+    record: BatchRecord,
+    route: Route,
+): ItemPriority =
+    if (workspaces.active) {
+        ItemPriority(workspaces.priorityOf(record.workspace), route.priority)
+    } else {
+        ItemPriority.NONE
+    }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -41,13 +41,16 @@
     suspend fun submit(
         record: BatchRecord,
         route: Route,
-    ): SubmitOutcome {
+    ): SubmitOutcome = decidedOutcome(record) ?: createAndRecord(record, route)
+
+    /** The outcome of submitting [record] if this process knows it without a call; null if it is to be created. */
+    fun decidedOutcome(record: BatchRecord): SubmitOutcome? {
         val ready = dependencies.self().ready
-        ownedBatches.find(record.id)?.let { return outcomeOfExisting(record, it.known.record.ownership) }
-        return if (ready) {
-            createAndRecord(record, route)
-        } else {
-            SubmitOutcome.Refused("this process is not ready", NOT_READY_RETRY_MILLIS)
+        val existing = ownedBatches.find(record.id)
+        return when {
+            existing != null -> outcomeOfExisting(record, existing.known.record.ownership)
+            ready -> null
+            else -> SubmitOutcome.Refused("this process is not ready", NOT_READY_RETRY_MILLIS)
         }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -34,7 +34,9 @@
 
     /** Pages of the results of owned batches. */
     val pages = ResultPages(checks, settings.pageChars)
-    private val dispatcher = dispatcherOf(::itemEnded)
+
+    /** Sends the items of the owned batches. */
+    val dispatcher = dispatcherOf(::itemEnded)
     private val rewardDispatcher: RewardDispatcher = rewardDispatcherOf(::itemEnded)
 
     /** Whether any batch has neither ended nor been relinquished. May be read by any thread. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/SubmissionRouter.kt
@@ -1,8 +1,10 @@
 package bergamotwall.gateway.batches
 
+import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.assignedOwnerOf
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.model.BatchId
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.Done
 import bergamotwall.model.NotOwner
@@ -59,14 +61,20 @@
         }
     }
 
+    /** The process that batch [id], submitted here on [route], is transferred to; null if it is accepted here. */
+    fun transferTarget(
+        id: BatchId,
+        route: Route,
+    ): GatewayMember? {
+        val assigned = assignedOwnerOf(dependencies.shared.gatewayState, route.name)
+        return assigned?.takeUnless { it.id == dependencies.self().id || ownedBatches.find(id) != null }
+    }
+
     private suspend fun transferToAssignedOwner(
         record: BatchRecord,
         route: Route,
     ): TransferOutcome {
-        val assigned = assignedOwnerOf(dependencies.shared.gatewayState, route.name)
-        if (assigned == null || assigned.id == dependencies.self().id || ownedBatches.find(record.id) != null) {
-            return TransferOutcome.DECLINED
-        }
+        val assigned = transferTarget(record.id, route) ?: return TransferOutcome.DECLINED
         return dependencies.peers.sendRequest(assigned.peerAddress, SubmitBatch(record), settings.handOverMillis).fold(
             success = { response ->
                 when (response) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/ForwardLimits.kt
@@ -1,5 +1,6 @@
 package bergamotwall.gateway.forwarding
 
+import bergamotwall.gateway.routes.Route
 import kotlinx.serialization.Serializable
 
 /** Limits for forwarding requests. */
@@ -20,4 +21,11 @@
     val maxLimitRetryAfterMillis: Long = 1_000,
     /** Hedging by percentile and with a budget; null for a fixed delay without one. */
     val hedging: HedgeSettings? = null,
-)
+) {
+    /** The longest time without a response after which a request on [route] is hedged. */
+    internal fun hedgeMillis(route: Route): Long = route.targetLatencyMillis * hedgePercent / PERCENT
+
+    private companion object {
+        private const val PERCENT = 100
+    }
+}
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/Forwarder.kt
@@ -141,7 +141,7 @@
             // Nobody waits for a single reward call, and a wave of them would only be doubled where targets are busy.
             val hedge = request.purpose == SendPurpose.REQUEST &&
                 route.retryable && tried.size < route.maxAttempts && guarded.mayHedge
-            val boundMillis = route.targetLatencyMillis * limits.hedgePercent / PERCENT
+            val boundMillis = limits.hedgeMillis(route)
             hedges?.takeIf { hedge }?.let { hedges ->
                 return hedges.next(outcomes, boundMillis) {
                     val allowed = guarded.mayHedge && guarded.mayRun
@@ -240,15 +240,7 @@
             dependencies.gatewayState.targets.read().usable(service),
             dependencies.clock.monotonicMillis(),
         )
-        return if (waitMillis == 0L) {
-            ForwardOutcome.NotRun("service ${service.value} has no usable target", limits.retryAfterMillis)
-        } else {
-            val retryAfterMillis = minOf(waitMillis, limits.maxLimitRetryAfterMillis)
-            ForwardOutcome.NotRun(
-                "the targets of service ${service.value} are at their request limits",
-                retryAfterMillis
-            )
-        }
+        return noTargetOutcome(service, waitMillis, limits)
     }
 
     private fun selectTarget(
@@ -269,7 +261,6 @@
 
     private companion object {
         private const val NO_ATTEMPT_ENDED = "no target"
-        private const val PERCENT = 100
         private const val FIRST_SERVER_ERROR = 500
 
         /** Targets that refuse are full or unreachable; further attempts would only add to their load. */
@@ -277,6 +268,22 @@
     }
 }
 
+/**
+ * The outcome of a request for which no target of [service] may be used now; the request limits of the targets let one
+ * be sent in [waitMillis].
+ */
+internal fun noTargetOutcome(
+    service: ServiceName,
+    waitMillis: Long,
+    limits: ForwardLimits,
+): ForwardOutcome.NotRun =
+    if (waitMillis == 0L) {
+        ForwardOutcome.NotRun("service ${service.value} has no usable target", limits.retryAfterMillis)
+    } else {
+        val retryAfterMillis = minOf(waitMillis, limits.maxLimitRetryAfterMillis)
+        ForwardOutcome.NotRun("the targets of service ${service.value} are at their request limits", retryAfterMillis)
+    }
+
 private fun describe(targets: Map<TargetId, SoftwareVersion?>): String =
     targets.entries.joinToString(",") { (id, software) -> "${id.value} (software ${software?.value})" }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/GuardedRequest.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/GuardedRequest.kt
@@ -26,11 +26,13 @@
     /** Whether the request may be sent to a target while another one has not responded yet. */
     val mayHedge: Boolean get() = !crashes.suspects(content)
 
-    /** The outcome if the request must not be sent to any target, or null. */
-    fun refusal(): ForwardOutcome? {
+    /** The outcome if the request must not be sent to any target, or null; counts the refusal. */
+    fun refusal(): ForwardOutcome? = wouldRefuse()?.also { crashes.refused(route.name) }
+
+    /** The same as [refusal], but nothing is counted. */
+    fun wouldRefuse(): ForwardOutcome.NotRun? {
         val refusedMillis = crashes.refusedForMillis(content)
         if (refusedMillis == 0L) return null
-        crashes.refused(route.name)
         return ForwardOutcome.NotRun("content ${content.value.hex} crashed the targets that ran it", refusedMillis)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/StreamPlacement.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/forwarding/StreamPlacement.kt
@@ -2,6 +2,7 @@
 
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.routes.RouteKind
+import bergamotwall.gateway.streams.OriginPeek
 import bergamotwall.gateway.streams.StreamOrigin
 import bergamotwall.gateway.streams.StreamOrigins
 import bergamotwall.gateway.targets.Target
@@ -28,12 +29,25 @@
         val resume = request.resume?.takeIf { stream } ?: return null
         val found = origins.find(resume.first, services)
         origin = found
-        return when {
+        return refusalOf(found)
+    }
+
+    /**
+     * What [refusal] would find out if it is known without a call to the key-value service; null if the request does
+     * not resume a stream. Changes nothing but the targets that [allows] accepts.
+     */
+    fun peek(): OriginPeek? {
+        val resume = request.resume?.takeIf { stream } ?: return null
+        return origins.peek(resume.first, services).also { origin = (it as? OriginPeek.Known)?.origin }
+    }
+
+    /** Why a stream that began at [found] can't be continued, or null if it can. */
+    fun refusalOf(found: StreamOrigin?): String? =
+        when {
             found == null -> "not known at which software version the stream began"
             found.service !in services -> "service ${found.service.value} no longer serves the stream's route"
             else -> null
         }
-    }
 
     /** Whether the request may run at [target]. */
     fun allows(target: Target): Boolean =
--- a/gateway/src/main/kotlin/bergamotwall/gateway/routes/Route.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/routes/Route.kt
@@ -25,6 +25,12 @@
 ) {
     /** Whether a request that may already have run can be sent to another target. */
     public val retryable: Boolean get() = kind == RouteKind.IDEMPOTENT
+
+    /** How long a caller that waits for [deadlineMillis], null if it does not say, gets to wait for a response. */
+    public fun longestMillis(deadlineMillis: Long?): Long = minOf(deadlineMillis ?: timeoutMillis, timeoutMillis)
+
+    /** The shares among which a service is chosen: those with a weight, or the first one if none has. */
+    internal val choosableShares: List<ServiceShare> get() = shares.filter { it.weight > 0 }.ifEmpty { shares.take(1) }
 }
 
 /** Share of a route's traffic that is sent to [service], in proportion to [weight]. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/OriginRecords.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/OriginRecords.kt
@@ -57,7 +57,7 @@
     }
 
     private fun needsRecord(stream: RememberedStream): Boolean =
-        !stream.stored && !(stream.onlyService && histories.isUniform(stream.origin.service))
+        !stream.stored && !(stream.onlyService && histories.uniformVersion(stream.origin.service) != null)
 
     private suspend fun write(streams: Map<RequestId, RememberedStream>): Boolean {
         val currentLease = currentLease() ?: return false
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/ServiceHistories.kt
@@ -59,10 +59,10 @@
         return watched[target.service]?.history?.serves(version) ?: false
     }
 
-    /** Whether this process knows [service] to have had one software version only, and all its targets to run it. */
-    fun isUniform(service: ServiceName): Boolean {
+    /** The version of [service] if this process knows it to have had no other, and all its targets to run it. */
+    fun uniformVersion(service: ServiceName): SoftwareVersion? {
         val sole = watched[service]?.history?.sole(dependencies.clock.wallMillis(), settings.retentionMillis)
-        return sole != null && registered(service).all { it == sole }
+        return sole?.takeIf { registered(service).all { it == sole } }
     }
 
     /** Reads the sole software version of [service] from the key-value service; null if it had several. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/SharedStreamOrigins.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/SharedStreamOrigins.kt
@@ -59,16 +59,44 @@
         first: RequestId?,
         services: Set<ServiceName>,
     ): StreamOrigin? {
-        val ageMillis = dependencies.targetsConfirmation()?.ageMillis(dependencies.clock)
-        if (ageMillis == null || ageMillis > settings.targetsStaleMillis) {
+        if (outdatedTargets != null) {
             resumed.labelValues("outdated_targets").inc()
             return null
         }
         val own = first?.let { records.find(it) }
         if (own != null) resumed.labelValues("memory").inc()
-        return own ?: (if (first == null) soleOrigin(services) else look(first, services) ?: lookAgain(first, services))
+        return own ?: if (first == null) {
+            soleOrigin(services)
+        } else {
+            look(first, services) ?: run {
+                delay(settings.pendingMillis)
+                look(first, services).also { if (it == null) resumed.labelValues("unknown").inc() }
+            }
+        }
+    }
+
+    override fun peek(
+        first: RequestId?,
+        services: Set<ServiceName>,
+    ): OriginPeek {
+        val service = services.singleOrNull()
+        val sole = service?.let { histories.uniformVersion(it) }
+        val own = first?.let { records.find(it) }
+        return outdatedTargets ?: when {
+            own != null -> OriginPeek.Known(own, "this process began the stream")
+            service != null && sole != null ->
+                OriginPeek.Known(StreamOrigin(service, sole), "the service had one software version only")
+            else -> OriginPeek.InStore
+        }
     }
 
+    private val outdatedTargets: OriginPeek.OutdatedTargets?
+        get() {
+            val ageMillis = dependencies.targetsConfirmation()?.ageMillis(dependencies.clock)
+            val outdated = ageMillis == null || ageMillis > settings.targetsStaleMillis
+            return if (outdated) OriginPeek.OutdatedTargets(ageMillis) else null
+        }
+
     /** Applies the version histories among the [entries] that all processes watch. */
     fun onStoreChanged(entries: Map<String, KeyValueEntry>) {
         histories.onStoreChanged(entries)
@@ -103,14 +131,6 @@
         return records.write()
     }
 
-    private suspend fun lookAgain(
-        first: RequestId,
-        services: Set<ServiceName>,
-    ): StreamOrigin? {
-        delay(settings.pendingMillis)
-        return look(first, services).also { if (it == null) resumed.labelValues("unknown").inc() }
-    }
-
     /** The record is read before the version history: a stream that is on neither has not begun yet. */
     private suspend fun look(
         first: RequestId,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/streams/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/streams/StreamOrigins.kt
@@ -25,6 +25,12 @@
         services: Set<ServiceName>,
     ): StreamOrigin?
 
+    /** What [find] would return, as far as this process knows it without a call. Changes no state. */
+    public fun peek(
+        first: RequestId?,
+        services: Set<ServiceName>,
+    ): OriginPeek = OriginPeek.InStore
+
     /** Instances without state. */
     public companion object {
         /** Knows of no stream. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/LimitShares.kt
@@ -39,9 +39,25 @@
         purpose: SendPurpose,
     ): RateShare {
         val share = shareOf(target, perSecond)
-        return if (purpose == SendPurpose.REQUEST) share else guestShareOf(perSecond, share)
+        return partFor(purpose, perSecond, share)
     }
 
+    /** The same as [of], without the cache. */
+    fun compute(
+        target: Target,
+        perSecond: Double,
+        purpose: SendPurpose,
+    ): RateShare {
+        val senders = limitSendersOf(target.service, gatewayState.routes.read(), gatewayState.members.read())
+        return partFor(purpose, perSecond, rateShareOf(target.id, perSecond, senders, self))
+    }
+
+    private fun partFor(
+        purpose: SendPurpose,
+        perSecond: Double,
+        share: RateShare,
+    ): RateShare = if (purpose == SendPurpose.REQUEST) share else guestShareOf(perSecond, share)
+
     private fun shareOf(
         target: Target,
         perSecond: Double,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetDependencies.kt
@@ -39,10 +39,30 @@
         val nowMillis = clock.monotonicMillis()
         return targets.map { target ->
             val admitted = limits.admitted(target, purpose, nowMillis)
-            loads.of(target.id).candidate(target, target.dataCentre == dataCentre, nowMillis).copy(admitted = admitted)
+            candidate(target, loads.of(target.id), admitted, nowMillis)
         }
     }
 
+    /** The same as [candidates] for one [target], with the inputs that it is made from. Changes no state. */
+    internal fun view(
+        target: Target,
+        purpose: SendPurpose,
+    ): TargetView {
+        val nowMillis = clock.monotonicMillis()
+        val load = loads.find(target.id) ?: TargetLoad()
+        val limit = limits.view(target, purpose, nowMillis)
+        val candidate = candidate(target, load, limit?.admitted ?: Int.MAX_VALUE, nowMillis)
+        return TargetView(target, candidate, loadView(load, candidate, nowMillis), limit)
+    }
+
+    private fun candidate(
+        target: Target,
+        load: TargetLoad,
+        admitted: Int,
+        nowMillis: Long,
+    ): CandidateTarget =
+        load.candidate(target, target.dataCentre == dataCentre, nowMillis).copy(admitted = admitted)
+
     /**
      * Records what the head of [target]'s response to request [requestId], sent at [sentAtMillis], tells of the target.
      */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLatency.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLatency.kt
@@ -11,6 +11,11 @@
     private val smoothedMillis = AtomicLong()
     private val speed = AtomicReference(TargetSpeed())
 
+    /** When a duration was last measured, on the monotonic clock; null if none was. */
+    @Volatile
+    internal var measuredAtMillis: Long? = null
+        private set
+
     /** Records a report, received at [nowMillis], of a slowdown of [percent], or of none. */
     internal fun reported(
         percent: Int?,
@@ -24,6 +29,7 @@
         sentAtMillis: Long,
         nowMillis: Long,
     ) {
+        measuredAtMillis = nowMillis
         val millis = nowMillis - sentAtMillis
         smoothedMillis.updateAndGet { old -> if (old == 0L) millis else old + (millis - old) / LATENCY_SMOOTHING }
         speed.updateAndGet { it.completed(sentAtMillis, nowMillis) }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimit.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimit.kt
@@ -44,6 +44,22 @@
         state.updateAndGet { old -> State(newPerSecond?.let { named(old, it, nowMillis) }) }
     }
 
+    /** The state at [nowMillis] for a process with the share that [shareOf] tells; null if there is no limit. */
+    internal fun view(
+        nowMillis: Long,
+        shareOf: (Double) -> RateShare,
+    ): LimitView? =
+        state.get().limit?.let { limit ->
+            val share = shareOf(limit.perSecond)
+            LimitView(
+                limit.perSecond,
+                nowMillis - limit.namedAtMillis,
+                share.perSecond,
+                limit.admitted(share, nowMillis),
+                limit.waitMillis(share, nowMillis),
+            )
+        }
+
     /** Number of requests that may be sent at [nowMillis] by a process with [share] of the limit. */
     public fun admitted(
         share: RateShare,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimits.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLimits.kt
@@ -44,6 +44,13 @@
             shareOf(target, SendPurpose.REQUEST)?.let { limitOf(target.id).waitMillis(it, nowMillis) } ?: 0
         } ?: 0
 
+    /** The limit of [target] for requests of [purpose], null if it names none. Changes no state. */
+    internal fun view(
+        target: Target,
+        purpose: SendPurpose,
+        nowMillis: Long,
+    ): LimitView? = loads.find(target.id)?.limit?.view(nowMillis) { shares.compute(target, it, purpose) }
+
     /**
      * Records that [target]'s response to a request sent at [sentAtMillis], received at [nowMillis], names a limit of
      * [perSecond] requests a second, or none.
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoad.kt
@@ -10,6 +10,9 @@
     private val outstanding = AtomicInteger()
     private val otherRequests = AtomicInteger()
     private val otherRequestsAtMillis = AtomicLong()
+
+    @Volatile
+    private var reportedOnce = false
     private val failures = AtomicInteger()
     private val backoffUntilMillis = AtomicLong()
     private val probing = AtomicBoolean()
@@ -24,6 +27,18 @@
     /** Requests of this process in flight at the target. */
     public val ownRequests: Int get() = outstanding.get()
 
+    /** When the target last reported its load, on the monotonic clock; null if it never did. */
+    internal val reportedAtMillis: Long? get() = if (reportedOnce) otherRequestsAtMillis.get() else null
+
+    /** Consecutive failures. */
+    internal val failureCount: Int get() = failures.get()
+
+    /** When the backoff ends, on the monotonic clock. */
+    internal val backoffEndsAtMillis: Long get() = backoffUntilMillis.get()
+
+    /** Whether the target gets one request at a time. */
+    internal val isProbing: Boolean get() = probing.get()
+
     /** Records a request sent at [nowMillis]. A target that refused the previous one receives one request at a time. */
     public fun sent(nowMillis: Long) {
         outstanding.incrementAndGet()
@@ -45,6 +60,7 @@
     ) {
         otherRequests.set((load.running + load.waiting - outstanding.get()).coerceAtLeast(0))
         otherRequestsAtMillis.set(nowMillis)
+        reportedOnce = true
         latency.reported(load.slowdownPercent, nowMillis)
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoads.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLoads.kt
@@ -10,6 +10,9 @@
     /** The load of target [id]; created on first use. */
     public fun of(id: TargetId): TargetLoad = loads.computeIfAbsent(id) { TargetLoad() }
 
+    /** The load of target [id], or null if nothing is known of it. */
+    public fun find(id: TargetId): TargetLoad? = loads[id]
+
     /** Request limits of the targets that name one, in requests a second. */
     public fun limits(): Map<TargetId, Double> =
         loads.entries.mapNotNull { (id, load) -> load.limit.perSecond?.let { id to it } }.toMap()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/workspaces/CallerKeys.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/workspaces/CallerKeys.kt
@@ -33,6 +33,15 @@
         subject: String,
         values: List<String>,
         public: Boolean = false,
+    ): KeyAccess {
+        val access = check(values, public)
+        return if (access is KeyAccess.Refused) refuse(subject, access.refusal) else access
+    }
+
+    /** The same as [authorize], but a refusal is not recorded. */
+    public fun check(
+        values: List<String>,
+        public: Boolean = false,
     ): KeyAccess {
         val proof = confirmation()
         val workspaces = table().workspaces
@@ -45,7 +54,7 @@
             refusal == null && known != null ->
                 KeyAccess.Granted(known.workspace, removesKey = true) { refusalOfSend(known) }
             public -> KeyAccess.Granted(removesKey = true)
-            else -> refuse(subject, refusal ?: KeyRefusal.UNKNOWN)
+            else -> KeyAccess.Refused(refusal ?: KeyRefusal.UNKNOWN)
         }
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/workspaces/KeyRefusal.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/workspaces/KeyRefusal.kt
@@ -17,4 +17,20 @@
 
     /** The batch belongs to another workspace. */
     FOREIGN_BATCH("no such batch"),
+    ;
+
+    /** Status of the response to the caller. */
+    public val status: Int
+        get() =
+            when {
+                retryable -> UNAVAILABLE
+                this == FOREIGN_BATCH -> NOT_FOUND
+                else -> UNAUTHORIZED
+            }
+
+    private companion object {
+        private const val UNAUTHORIZED = 401
+        private const val NOT_FOUND = 404
+        private const val UNAVAILABLE = 503
+    }
 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -147,7 +147,12 @@
     /** The process under test. */
     var self = GatewayMember(NodeId("self"), 2, DataCentre("x"), "self:1", "self:2", ready = true)
 
-    private val gatewayState = GatewayState()
+    /** State that the process under test knows. */
+    val gatewayState = GatewayState()
+
+    /** Dependencies of the process under test; set by [batches]. */
+    lateinit var shared: TargetDependencies
+        private set
 
     /** Answers reward calls. */
     var forward: suspend (CallerRequest, Route) -> ForwardOutcome = { _, _ -> error("no reward call is expected") }
@@ -188,24 +193,25 @@
         gatewayState.routes.update { RouteTable(ConfigurationRevision(1), listOf(route, rewardRoute)) }
         gatewayState.members.update { MemberList(mapOf(self.id to self)) }
         val loads = TargetLoads()
+        shared =
+            TargetDependencies(
+                gatewayState = gatewayState,
+                client = client,
+                protocol = HeaderProtocol,
+                loads = loads,
+                clock = clock,
+                random = Random(1),
+                journal = journal,
+                dataCentre = self.dataCentre,
+                metrics = GatewayMetrics(),
+                limits = TargetLimits(self.id, gatewayState, loads, journal),
+            )
         val dependencies =
             BatchDependencies(
                 self = { self },
                 store = store,
                 peers = peers,
-                shared =
-                TargetDependencies(
-                    gatewayState = gatewayState,
-                    client = client,
-                    protocol = HeaderProtocol,
-                    loads = loads,
-                    clock = clock,
-                    random = Random(1),
-                    journal = journal,
-                    dataCentre = self.dataCentre,
-                    metrics = GatewayMetrics(),
-                    limits = TargetLimits(self.id, gatewayState, loads, journal),
-                ),
+                shared = shared,
                 forwarder = { request, route -> forward(request, route) },
             )
         return Batches(dependencies, settings, scope.backgroundScope, dispatcher)
