--- a/gateway/src/main/kotlin/bergamotwall/gateway/explain/Explainer.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/explain/Explainer.kt
@@ -113,10 +113,11 @@
     ): Explanation {
         val longestMillis = route.longestMillis(question.deadlineMillis)
         val leave = dependencies.leave
-        val request = callOf(question, access, longestMillis)
+        val patienceMillis = minOf(longestMillis, leave.remainingMillis ?: longestMillis)
+        val request = callOf(question, access, patienceMillis)
         val limits =
             ExplainedLimits(
-                longestMillis = minOf(longestMillis, leave.remainingMillis ?: longestMillis),
+                longestMillis = patienceMillis,
                 maxAttempts = route.maxAttempts,
                 repeatable = route.retryable,
                 hedgeAfterMillis = dependencies.forwarding.hedgeMillis(request, route),
@@ -233,7 +234,7 @@
     private fun callOf(
         question: ExplainQuestion,
         access: KeyAccess.Granted,
-        longestMillis: Long,
+        patienceMillis: Long,
     ): CallerRequest {
         val nowMillis = clock.monotonicMillis()
         return CallerRequest(
@@ -243,7 +244,7 @@
             headers = emptyList(),
             body = question.body,
             arrivedAtMillis = nowMillis,
-            deadlineAtMillis = nowMillis + longestMillis,
+            deadlineAtMillis = nowMillis + patienceMillis,
             resume = question.resume,
             purpose = SendPurpose.REQUEST,
             workspace = access.workspace,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/explain/Explanation.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/explain/Explanation.kt
@@ -43,10 +43,10 @@
 
 /**
  * Limits of a request. It waits for a response for at most [longestMillis] and is sent to at most [maxAttempts]
- * targets. [repeatable]: it may be sent to another target although it may have run. [hedgeAfterMillis]: the longest time
- * without a response after which it is sent to a second target as well; null if it is not. [leavingMillis]: the time
- * until this process, which is leaving, ends all responses. For a batch, [longestMillis] is when its results are due,
- * and [maxAttempts] bounds the error responses to an item.
+ * targets. [repeatable]: it may be sent to another target although it may have run. [hedgeAfterMillis]: the longest
+ * time without a response after which it is sent to a second target as well; null if it is not. [leavingMillis]: the
+ * time until this process, which is leaving, ends all responses. For a batch, [longestMillis] is when its results are
+ * due, and [maxAttempts] bounds the error responses to an item.
  */
 @Serializable
 public data class ExplainedLimits(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/explain/ForwardingView.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/explain/ForwardingView.kt
@@ -49,9 +49,19 @@
         route: Route,
     ): Outcome {
         val crashRefusal = guarded(request, route).wouldRefuse()
-        if (crashRefusal != null) {
-            return Outcome(crashRefusal, changes = listOf("the end of the quarantine, or another method, path or body"))
+        return when {
+            crashRefusal != null ->
+                Outcome(crashRefusal, changes = listOf("the end of the quarantine, or another method, path or body"))
+            request.deadlineAtMillis <= dependencies.clock.monotonicMillis() ->
+                Outcome(ForwardOutcome.NotRun("deadline", limits.retryAfterMillis))
+            else -> placed(request, route)
         }
+    }
+
+    private fun placed(
+        request: CallerRequest,
+        route: Route,
+    ): Outcome {
         val placement = StreamPlacement(request, route, origins)
         return when (val peek = placement.peek()) {
             is OriginPeek.OutdatedTargets ->
--- a/gateway/src/test/kotlin/bergamotwall/gateway/explain/ExplainerTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/explain/ExplainerTest.kt
@@ -78,6 +78,7 @@
         "missing key, /idempotent/x, false, 401, is missing",
         "missing key, /public/x, true, , target near",
         "malformed, /idempotent/x, false, 400, malformed as told",
+        "no time, /idempotent/x, false, 503, deadline",
         "leaving, /idempotent/x, false, 503, this process is leaving",
         "crashing content, /idempotent/x, false, 503, crashed the targets",
         "near full, /idempotent/x, true, , target far",
@@ -185,8 +186,6 @@
 
     private suspend fun enter(state: String) {
         val nowMillis = dependencies.clock.monotonicMillis()
-        val near = dependencies.loads.of(NEAR.id)
-        val far = dependencies.loads.of(FAR.id)
         when (state) {
             "outdated" -> current = false
             "no configuration" -> fixture.gatewayState.routes.update { RouteTable() }
@@ -196,29 +195,35 @@
             }
             "not ready" -> fixture.self = fixture.self.copy(ready = false)
             "crashing content" -> quarantineMillis = 700
-            "near full" -> fill(NEAR)
-            "all full" -> listOf(NEAR, FAR).forEach { fill(it) }
-            "near backs off" -> near.failed(nowMillis)
-            "all back off" -> listOf(near, far).forEach { it.failed(nowMillis) }
             "near leaving" -> fixture.gatewayState.targets.update { it.withDeparture(NEAR) }
-            "near limited" -> dependencies.limits.reported(NEAR, 1.0, nowMillis, nowMillis)
-            "all limited" ->
-                listOf(NEAR, FAR).forEach { dependencies.limits.reported(it, 1.0, nowMillis, nowMillis) }
             "no targets" -> fixture.gatewayState.targets.update { it.next(emptyMap(), nowMillis) }
-            "resumed at far" ->
-                origin = OriginPeek.Known(StreamOrigin(SERVICE, SoftwareVersion("v2")), "told by the test")
+            "resumed at far" -> origin = OriginPeek.Known(StreamOrigin(SERVICE, SoftwareVersion("v2")), "the test")
             "resumed elsewhere" ->
-                origin = OriginPeek.Known(StreamOrigin(ServiceName("gone"), SoftwareVersion("v2")), "told by the test")
+                origin = OriginPeek.Known(StreamOrigin(ServiceName("gone"), SoftwareVersion("v2")), "the test")
             "resumed outdated" -> origin = OriginPeek.OutdatedTargets(9_000)
-            "other owner" -> {
-                val member = fixture.memberAssignedOverSelf()
-                fixture.setMembers(batches, member)
-            }
+            "other owner" -> fixture.setMembers(batches, fixture.memberAssignedOverSelf())
+            else -> targetsOf(state).forEach { load(it, state.substringAfter(' '), nowMillis) }
         }
     }
 
-    private fun fill(target: Target) = repeat(target.slots) {
-        dependencies.loads.of(target.id).sent(dependencies.clock.monotonicMillis())
+    private fun targetsOf(state: String): List<Target> =
+        when (state.substringBefore(' ')) {
+            "near" -> listOf(NEAR)
+            "all" -> listOf(NEAR, FAR)
+            else -> emptyList()
+        }
+
+    private fun load(
+        target: Target,
+        state: String,
+        nowMillis: Long,
+    ) {
+        val load = dependencies.loads.of(target.id)
+        when (state) {
+            "full" -> repeat(target.slots) { load.sent(nowMillis) }
+            "limited" -> dependencies.limits.reported(target, 1.0, nowMillis, nowMillis)
+            else -> load.failed(nowMillis)
+        }
     }
 
     private fun explainer(scope: TestScope): Explainer {
@@ -238,13 +243,12 @@
         val targets = listOf(NEAR, FAR, unused).associateBy { it.id }
         fixture.gatewayState.targets.update { it.next(targets, 0) }
         val confirmation = WatchConfirmation(0, 0, 0, null)
-        val settings =
-            GatewaySettings(NodeId("self"), DataCentre("x"), "self:1", "store:1")
+        val settings = GatewaySettings(NodeId("self"), DataCentre("x"), "self:1", "store:1")
         leave = Leave(dependencies.clock, settings, dependencies.metrics)
         val refusals = KeyRefusals(dependencies.journal, dependencies.metrics)
-        val state = fixture.gatewayState
-        val keys =
-            CallerKeys(state.routes::read, { confirmation }, { true }, dependencies.clock, WorkspaceSettings(), refusals)
+        val table = fixture.gatewayState.routes::read
+        val clock = dependencies.clock
+        val keys = CallerKeys(table, { confirmation }, { true }, clock, WorkspaceSettings(), refusals)
         return Explainer(
             ExplainerDependencies(
                 self = fixture.self.id,
@@ -316,7 +320,7 @@
         override val id = "r"
         override val body = body.toByteArray()
         override val resume = StreamResume(3, RequestId("first")).takeIf { state.startsWith("resumed") }
-        override val deadlineMillis = null
+        override val deadlineMillis = if (state == "no time") 0L else null
         override val aboutBatch = path.startsWith("/api/")
 
         override fun malformed(route: Route) = "malformed as told".takeIf { state == "malformed" }
