--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/DispatchableItem.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/DispatchableItem.kt
@@ -1,6 +1,5 @@
 package bergamotwall.gateway.batches
 
-import bergamotwall.decisions.batches.ItemPriority
 import bergamotwall.decisions.batches.WaitingItem
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.workspaces.Workspaces
@@ -22,12 +21,7 @@
             eligible = targets.filter { allows(it) }.mapTo(HashSet()) { it.id },
             avoid = item.lastFailedTarget,
             groupTarget = batch.groupTargets[group],
-            priority =
-            if (workspaces.active) {
-                ItemPriority(workspaces.priorityOf(batch.record.workspace), batch.route.priority)
-            } else {
-                ItemPriority.NONE
-            },
+            priority = priorityOf(workspaces, batch.record, batch.route),
         )
     }
 
@@ -60,11 +54,7 @@
 
     private fun allows(target: Target): Boolean = item.continuesAt(target) && allowsWeights(target)
 
-    private fun allowsWeights(target: Target): Boolean {
-        val model = batch.record.model
-        val versionAllowed = model == null || target.versions[model]?.let { it >= batch.record.minVersion } == true
-        return versionAllowed && batch.route.shares.any { it.service == target.service }
-    }
+    private fun allowsWeights(target: Target): Boolean = allowsWeights(batch.record, batch.route, target)
 
     private companion object {
         /** Longest wait for a target that is backing off, after which generating the text again is faster. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLatency.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/targets/TargetLatency.kt
@@ -14,6 +14,11 @@
     /** Whether the target reports that its speed varies. */
     internal val varies: Boolean get() = speed.get().reported
 
+    /** When a duration was last measured, on the monotonic clock; null if none was. */
+    @Volatile
+    internal var measuredAtMillis: Long? = null
+        private set
+
     /** Records a report, received at [nowMillis], of a slowdown of [percent], or of none. */
     internal fun reported(
         percent: Int?,
@@ -27,6 +32,7 @@
         sentAtMillis: Long,
         nowMillis: Long,
     ) {
+        measuredAtMillis = nowMillis
         val millis = nowMillis - sentAtMillis
         smoothedMillis.updateAndGet { old -> if (old == 0L) millis else old + (millis - old) / LATENCY_SMOOTHING }
         speed.updateAndGet { it.completed(sentAtMillis, nowMillis) }
