--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemMoves.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemMoves.kt
@@ -8,8 +8,8 @@
  * Made for training steps that wait for their slowest group while some targets are several times slower than others, or
  * have stopped sending without closing their connections. A target reads a prompt and the events generated so far in
  * milliseconds, so a run that has many events left ends earlier at a faster target. How many are left is not known: it
- * is taken to be what is left of the [typicalEvents] of an item, or as many as have been received if that is more,
- * since lengths are heavy-tailed. A run moves only if that saves [MIN_SAVED_MILLIS] and a third of its time, and only to a
+ * is taken to be what is left of the [typicalEvents] of an item, or as many as have been received if that is more, as
+ * lengths are heavy-tailed. A run moves only if that saves [MIN_SAVED_MILLIS] and a third of its time, and only to a
  * target that keeps a quarter of its slots free for new requests. A pause of less than [MIN_SILENT_MILLIS] is taken for
  * one in which the target loads weights.
  */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -3,6 +3,7 @@
 import bergamotwall.decisions.admission.backoffMillis
 import bergamotwall.decisions.batches.ItemAssignment
 import bergamotwall.decisions.batches.ItemPriority
+import bergamotwall.decisions.batches.WaitingItem
 import bergamotwall.decisions.batches.assignItems
 import bergamotwall.gateway.routes.Route
 import bergamotwall.gateway.targets.SendPurpose
