Accept batch submissions of up to the largest allowed body

A batch that can't be decoded at once is scanned in the collected bytes, its record is written to the key-value service chunk by chunk, and the bodies of its items are read from there when they are sent.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAdoption.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAdoption.kt
@@ -56,7 +56,7 @@
             AdoptionOutcome.UNROUTABLE
         } else {
             val nowMillis = dependencies.shared.clock.monotonicMillis()
-            ownedBatches.add(OwnedBatch(record, claimed, route, nowMillis, loaded.results, loaded.texts))
+            ownedBatches.add(OwnedBatch(record, claimed, route, nowMillis, loaded.results, loaded.texts, loaded.stored.bodies))
             journal(stored, loaded)
             AdoptionOutcome.ADOPTED
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
@@ -7,6 +7,7 @@
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.Jsons
@@ -17,34 +18,57 @@
  * because the service limits the size of a value.
  */
 internal class BatchCreator(private val store: KeyValueStore, private val chunkChars: Int) {
-    /**
-     * Writes the items of [record] and then [ownership], in the same transaction as the last chunks: a batch exists
-     * once its ownership record does.
-     */
+    /** Writes the items of [record] and then [ownership], see the other function. */
     suspend fun create(
         record: BatchRecord,
         ownership: BatchOwnership,
         retries: RetrySchedule,
     ): CreateOutcome {
         val chunks = Jsons.wire.encodeToString(BatchRecord.serializer(), record).chunked(chunkChars)
-        val puts = chunks.mapIndexed { index, chunk ->
-            Write.Put(
-                GatewayKeys.chunk(GatewayKeys.items(record.id, ownership.nonce), index),
-                chunk
-            )
-        }
-        val earlierPuts = puts.dropLast(CHUNKS_PER_TRANSACTION).chunked(CHUNKS_PER_TRANSACTION)
-        for (group in earlierPuts) {
-            if (!putChunks(group, retries)) return CreateOutcome.NotCreated("the items could not be written")
+        return create(record.id, chunks.asSequence(), ownership, retries)
+    }
+
+    /**
+     * Writes the [chunks] of the record of batch [id] as they are made and then [ownership], in the same transaction as
+     * the last chunks: a batch exists once its ownership record does.
+     */
+    suspend fun create(
+        id: BatchId,
+        chunks: Sequence<String>,
+        ownership: BatchOwnership,
+        retries: RetrySchedule,
+    ): CreateOutcome {
+        val prefix = GatewayKeys.items(id, ownership.nonce)
+        val puts = ArrayList<Write.Put>()
+        var parts = 0
+        for (chunk in chunks) {
+            // The last chunks are kept for the transaction with the ownership record.
+            if (puts.size == 2 * CHUNKS_PER_TRANSACTION && !putFirst(puts, CHUNKS_PER_TRANSACTION, retries)) {
+                return notWritten
+            }
+            puts += Write.Put(GatewayKeys.chunk(prefix, parts++), chunk)
         }
-        val requested = ownership.copy(parts = chunks.size)
-        val key = GatewayKeys.batch(record.id)
+        val earlier = puts.size - CHUNKS_PER_TRANSACTION
+        if (earlier > 0 && !putFirst(puts, earlier, retries)) return notWritten
+        val requested = ownership.copy(parts = parts)
+        val key = GatewayKeys.batch(id)
         val ownershipPut = Write.Put(key, Jsons.wire.encodeToString(BatchOwnership.serializer(), requested))
-        val transaction =
-            Transaction(listOf(Condition.Absent(key)), puts.takeLast(CHUNKS_PER_TRANSACTION) + ownershipPut)
+        val transaction = Transaction(listOf(Condition.Absent(key)), puts + ownershipPut)
         return commitOwnership(key, transaction, requested, retries)
     }
 
+    /** Writes the first [count] of [puts] and removes them from the list. */
+    private suspend fun putFirst(
+        puts: MutableList<Write.Put>,
+        count: Int,
+        retries: RetrySchedule,
+    ): Boolean {
+        val first = puts.subList(0, count)
+        val written = putChunks(first.toList(), retries)
+        first.clear()
+        return written
+    }
+
     private suspend fun putChunks(
         puts: List<Write.Put>,
         retries: RetrySchedule,
@@ -99,6 +123,7 @@
     private companion object {
         /** Keeps each transaction well below the number of entries that the key-value service allows in one. */
         private const val CHUNKS_PER_TRANSACTION = 4
+        private val notWritten = CreateOutcome.NotCreated("the items could not be written")
     }
 }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -84,6 +84,13 @@
     ): SubmitOutcome =
         withContext(loop) { submissionRouter.submit(record, route) }
 
+    /** Stores the large [submission] durably and runs it at this process. */
+    public suspend fun submit(
+        submission: LargeSubmission,
+        route: Route,
+    ): SubmitOutcome =
+        withContext(loop) { localSubmissions.submit(submission, route) }
+
     /** Ownership of [batch], whose owner may have changed since; null if the batch does not exist. */
     public suspend fun ownership(batch: BatchId): Result<BatchOwnership?, KeyValueError> =
         withContext(loop) {
@@ -118,7 +125,7 @@
     ): ReadOutcome =
         withContext(loop) {
             val owned = ownedBatches.find(batch)
-            if (owned != null) return@withContext bodyOf(owned.body(item))
+            if (owned != null) return@withContext ownedBatches.body(owned, item)
             val response = remoteBatches.requestFromOwner(batch, FetchItem(batch, item), settings.peerTimeoutMillis)
             if (response is ItemBody) bodyOf(response.bodyBase64) else remoteBatches.body(batch, item)
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -8,6 +8,7 @@
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.WeightVersion
+import com.github.michaelbull.result.fold
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Base64
 
@@ -19,6 +20,8 @@
     private val dependencies: TargetDependencies,
     private val idleTimeoutMillis: Long,
 ) {
+    private val budget = BodyBudget(Runtime.getRuntime().maxMemory() / BODIES_HEAP_PARTS)
+
     /**
      * Sends [item] of [batch] to [target]. The run resumes after the text of earlier attempts if the batch allows that.
      */
@@ -26,19 +29,69 @@
         batch: OwnedBatch,
         item: ItemState,
         target: Target,
+    ): ItemOutcome {
+        val load = dependencies.loads.of(target.id)
+        // Before the body is read, so that no other item is placed on the slot meanwhile.
+        load.sent(dependencies.clock.monotonicMillis())
+        try {
+            val bodies = batch.bodies
+            return if (bodies == null) {
+                send(batch, item, target, Base64.getDecoder().decode(item.spec.bodyBase64)) { }
+            } else {
+                runLarge(batch, item, target, bodies)
+            }
+        } finally {
+            load.ended()
+        }
+    }
+
+    /** Reads the body of [item] from [bodies] first. Meanwhile the batch may have ended, or the target left. */
+    private suspend fun runLarge(
+        batch: OwnedBatch,
+        item: ItemState,
+        target: Target,
+        bodies: StoredBodies,
+    ): ItemOutcome {
+        val bytes = bodies.byteCount(item.spec.id)
+        budget.acquire(bytes)
+        var held = true
+        val release = {
+            if (held) budget.release(bytes)
+            held = false
+        }
+        try {
+            val body = bodies.read(item.spec.id).fold({ it }, { return ItemOutcome.NotRun("body: ${it.detail}") })
+            val usable = dependencies.gatewayState.targets.read().usable(target.service)
+            return when {
+                !batch.active -> ItemOutcome.Cancelled
+                !batch.maySend || usable.none { it.id == target.id && it.address == target.address } ->
+                     ItemOutcome.NotRun("not sent after its body was read")
+                else -> send(batch, item, target, body, release)
+            }
+        } finally {
+            release()
+        }
+    }
+
+    /** Sends [item] with [body]; [onResponse] is called once the target, which has then read the body, responds. */
+    private suspend fun send(
+        batch: OwnedBatch,
+        item: ItemState,
+        target: Target,
+        body: ByteArray,
+        onResponse: () -> Unit,
     ): ItemOutcome {
         val load = dependencies.loads.of(target.id)
         val sentAtMillis = dependencies.clock.monotonicMillis()
         val eventsBefore = item.eventCount
-        load.sent(sentAtMillis)
         val exchange =
             dependencies.client.send(
                 target.address,
-                dependencies.protocol.request(callOf(batch.record, item), target),
+                dependencies.protocol.request(callOf(batch.record, item, body), target),
             )
         item.exchange = exchange
         try {
-            val outcome = receive(batch, item, target, exchange)
+            val outcome = receive(batch, item, target, exchange, onResponse)
             when (outcome) {
                 ItemOutcome.Whole -> {
                     val endedAtMillis = dependencies.clock.monotonicMillis()
@@ -52,7 +105,6 @@
             return outcome
         } finally {
             item.exchange = null
-            load.ended()
             exchange.cancel()
         }
     }
@@ -60,10 +112,10 @@
     private fun callOf(
         record: BatchRecord,
         item: ItemState,
+        body: ByteArray,
     ): TargetCall {
         val headers = item.spec.headers.map { Header(it.name, it.value) } + Header("Host", record.host)
         val workspaces = dependencies.gatewayState.routes.read().workspaces
-        val body = Base64.getDecoder().decode(item.spec.bodyBase64)
         return TargetCall(
             requestId = item.spec.id.value,
             method = "POST",
@@ -84,12 +136,16 @@
         item: ItemState,
         target: Target,
         exchange: TargetExchange,
-    ): ItemOutcome =
-        when (val first = next(exchange, idleTimeoutMillis)) {
+        onResponse: () -> Unit,
+    ): ItemOutcome {
+        val first = next(exchange, idleTimeoutMillis)
+        onResponse()
+        return when (first) {
             is ResponsePart.Head -> handleHead(batch, item, target, first, exchange)
             is ResponsePart.Broken -> outcomeOf(first)
             else -> ItemOutcome.Broken("no response within $idleTimeoutMillis ms")
         }
+    }
 
     private suspend fun handleHead(
         batch: OwnedBatch,
@@ -143,6 +199,8 @@
         if (part.mayHaveRun) ItemOutcome.Broken(part.reason) else ItemOutcome.NotRun(part.reason)
 
     private companion object {
+        /** 6 MB of a heap of 96 MB. A body is in memory once more while it is written to the connection. */
+        private const val BODIES_HEAP_PARTS = 16
         private const val OK = 200
         private const val UNPROCESSABLE = 422
         private const val FIRST_SERVER_ERROR = 500
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -27,6 +27,7 @@
     private val onUnconfirmed: (BatchId) -> Unit,
 ) {
     private val creator = BatchCreator(dependencies.store, settings.partChars)
+    private val store = BatchStore(dependencies.store)
     private val inProgress = MutableStateFlow(emptyList<BatchId>())
 
     /** Whether a submission of [id] is in progress. */
@@ -41,11 +42,25 @@
     suspend fun submit(
         record: BatchRecord,
         route: Route,
+    ): SubmitOutcome = submit(record, null, route)
+
+    /**
+     * Stores [submission] as for other batches. It is not transferred to the assigned owner: a message can't hold it.
+     */
+    suspend fun submit(
+        submission: LargeSubmission,
+        route: Route,
+    ): SubmitOutcome = submit(submission.record, submission, route)
+
+    private suspend fun submit(
+        record: BatchRecord,
+        large: LargeSubmission?,
+        route: Route,
     ): SubmitOutcome {
         val ready = dependencies.self().ready
         ownedBatches.find(record.id)?.let { return outcomeOfExisting(record, it.known.record.ownership) }
         return if (ready) {
-            createAndRecord(record, route)
+            createAndRecord(record, large, route)
         } else {
             SubmitOutcome.Refused("this process is not ready", NOT_READY_RETRY_MILLIS)
         }
@@ -53,9 +68,10 @@
 
     private suspend fun createAndRecord(
         record: BatchRecord,
+        large: LargeSubmission?,
         route: Route,
     ): SubmitOutcome {
-        val outcome = scope.async { trackInProgress(record.id) { create(record, route) } }.await()
+        val outcome = scope.async { trackInProgress(record.id) { create(record, large, route) } }.await()
         dependencies.shared.metrics.submitted(route.name, outcome.javaClass.simpleName)
         dependencies.shared.journal.record(
             Decision(
@@ -82,6 +98,7 @@
 
     private suspend fun create(
         record: BatchRecord,
+        large: LargeSubmission?,
         route: Route,
     ): CreateOutcome {
         val self = dependencies.self()
@@ -97,22 +114,28 @@
                 workspace = record.workspace,
             )
         val sentAt = dependencies.shared.clock.read()
-        val deadlineMillis = sentAt.monotonicMillis + settings.acceptMillis
+        val text = large?.let { LargeRecordText(it, settings.partChars) }
+        val acceptMillis = settings.acceptMillis * (1 + (large?.chars ?: 0) / CHARS_PER_ACCEPT_TIME)
+        val deadlineMillis = sentAt.monotonicMillis + acceptMillis
+        val retries = RetrySchedule(dependencies.shared.clock, dependencies.shared.random, deadlineMillis)
         val outcome =
-            creator.create(
-                record,
-                requested,
-                RetrySchedule(dependencies.shared.clock, dependencies.shared.random, deadlineMillis),
-            )
+            if (text == null) {
+                creator.create(record, requested, retries)
+            } else {
+                creator.create(record.id, text.chunks(), requested, retries)
+            }
         when (outcome) {
             is CreateOutcome.Created ->
                 ownedBatches.add(
                     OwnedBatch(
-                        record,
+                        if (text == null) record else record.copy(items = record.items.map { it.copy(bodyBase64 = "") }),
                         ownedBatches.known(outcome.record, sentAt),
                         route,
                         dependencies.shared.clock.monotonicMillis(),
                         emptyList(),
+                        bodies = text?.let {
+                            store.bodies(record.id, requested.nonce, it.chunkStarts.toIntArray(), it.places)
+                        },
                     ),
                 )
             // An earlier creation by this process may have taken effect although its response was lost.
@@ -150,6 +173,9 @@
     private companion object {
         private const val NONCE_RADIX = 36
 
+        /** About as much as is stored at once for other batches, for which [BatchSettings.acceptMillis] is enough. */
+        private const val CHARS_PER_ACCEPT_TIME = 10_000_000
+
         /** A refusal follows seconds of retries, after which most outages of the key-value service are over. */
         private const val RETRY_AFTER_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -15,7 +15,8 @@
  * durably. Confined to the batch loop.
  *
  * [acceptedAtMillis] is on the monotonic clock; for an adopted batch it is the time of adoption. [stored] holds the
- * results that earlier owners stored, [storedTexts] the texts that they stored for scoring.
+ * results that earlier owners stored, [storedTexts] the texts that they stored for scoring. [bodies] holds the bodies of
+ * the items of a large batch, which are not in memory; null for other batches.
  */
 internal class OwnedBatch(
     val record: BatchRecord,
@@ -24,6 +25,7 @@
     val acceptedAtMillis: Long,
     stored: List<ItemResult>,
     storedTexts: List<ItemResult> = emptyList(),
+    val bodies: StoredBodies? = null,
 ) {
     private val results = ArrayList(stored)
     private val pending = ArrayDeque<ItemResult>()
@@ -172,7 +174,7 @@
         return if (mayLackResults) null else pageOf(record.items.size, results, after, maxBytes)
     }
 
-    /** Request body of [item] in base64, or null if the batch has no such item. */
+    /** Request body of [item] in base64, or null if the batch has no such item. Not for large batches, see [bodies]. */
     fun body(item: ItemId): String? = items[item]?.spec?.bodyBase64
 
     /** Cancels all runs in progress. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -87,8 +87,13 @@
         item: ItemId,
     ): ReadOutcome =
         readFromStore(batch) { stored ->
-            store.items(batch, stored.ownership).map { record ->
-                bodyOf(record.items.firstOrNull { it.id == item }?.bodyBase64)
+            store.record(batch, stored.ownership).andThen { read ->
+                val spec = read.record.items.firstOrNull { it.id == item }
+                if (spec == null || read.bodies == null) {
+                    Ok(bodyOf(spec?.bodyBase64))
+                } else {
+                    read.bodies.read(item).map { ReadOutcome.Body(it) }
+                }
             }
         }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/CollectedBytes.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/CollectedBytes.kt
@@ -9,7 +9,10 @@
  */
 internal class CollectedBytes(private val allocator: ByteBufAllocator = ByteBufAllocator.DEFAULT) {
     private val parts = ArrayDeque<ByteBuf>()
-    private var size = 0
+
+    /** Number of bytes. */
+    var size = 0
+        private set
 
     fun add(part: ByteBuf) {
         size += part.readableBytes()
@@ -34,6 +37,27 @@
         return array
     }
 
+    /** The [length] bytes from [start] on, each as one character. */
+    fun text(
+        start: Int,
+        length: Int,
+    ): String {
+        val array = ByteArray(length)
+        var copied = 0
+        var partStart = 0
+        for (part in parts) {
+            if (copied == length) break
+            val from = start + copied - partStart
+            val count = minOf(part.readableBytes() - from, length - copied)
+            if (count > 0) {
+                part.getBytes(part.readerIndex() + from, array, copied, count)
+                copied += count
+            }
+            partStart += part.readableBytes()
+        }
+        return String(array, Charsets.ISO_8859_1)
+    }
+
     /** Drops the bytes. */
     fun clear() {
         parts.forEach { it.release() }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -59,15 +59,35 @@
         loop.scheduleWithFixedDelay(::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    /** The largest batch that can be decoded: with its copies it takes the whole account. */
+    /**
+     * The largest batch that can be decoded at once: with its copies it takes the whole account. Of a larger one, the
+     * bodies of items are not decoded.
+     */
     public val maxBatchBytes: Long get() = account.limitBytes / (1 + DECODED_COPIES)
 
+    /** The most bytes, without the bodies of items, of a batch that can't be decoded at once. */
+    public val maxBatchRestBytes: Long get() = maxBatchBytes / REST_PARTS
+
     /** Runs [block] with memory to decode a batch of [bodyBytes]; null if there is none within some seconds. */
     public suspend fun <T : Any> decoding(
         bodyBytes: Int,
         block: suspend () -> T,
+    ): T? = holding(bodyBytes, minOf(bodyBytes * DECODED_COPIES, memory.budget.maxRequestBytes - bodyBytes), block)
+
+    /** Like [decoding] for a batch that can't be decoded at once. */
+    public suspend fun <T : Any> decodingLarge(
+        bodyBytes: Int,
+        block: suspend () -> T,
+    ): T? {
+        val remainingBytes = maxOf(0, memory.budget.maxRequestBytes - bodyBytes - HEAD_BYTES)
+        return holding(bodyBytes, minOf(maxBatchRestBytes * REST_COPIES, remainingBytes), block)
+    }
+
+    private suspend fun <T : Any> holding(
+        bodyBytes: Int,
+        bytes: Long,
+        block: suspend () -> T,
     ): T? {
-        val bytes = minOf(bodyBytes * DECODED_COPIES, memory.budget.maxRequestBytes - bodyBytes)
         val deadlineMillis = nowMillis + settings.memoryWaitMillis
         while (!memory.hold(IntakeClass.BATCHES, bytes, ownBytes = bodyBytes.toLong(), privileged = false)) {
             if (nowMillis > deadlineMillis) return null
@@ -151,6 +171,15 @@
 
         /** The text of a batch, its items, and the documents in which they are stored. */
         private const val DECODED_COPIES = 4L
+
+        /** The account has room for that with its copies beside the body of a batch of 32 MiB and other requests. */
+        private const val REST_PARTS = 4
+
+        /** Its text and its items. The body is not in the heap, and its chunks are stored after the text is dropped. */
+        private const val REST_COPIES = 2L
+
+        /** Room for the heads of the submission and of other requests. */
+        private const val HEAD_BYTES = 1_048_576L
         private const val MAX_METRICS_BODY_BYTES = 65_536L
     }
 }
