--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAdoption.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAdoption.kt
@@ -56,7 +56,9 @@
             AdoptionOutcome.UNROUTABLE
         } else {
             val nowMillis = dependencies.shared.clock.monotonicMillis()
-            ownedBatches.add(OwnedBatch(record, claimed, route, nowMillis, loaded.results, loaded.texts, loaded.stored.bodies))
+            val batch = OwnedBatch(record, claimed, route, nowMillis, loaded.results, loaded.texts)
+            batch.bodies = loaded.stored.bodies
+            ownedBatches.add(batch)
             journal(stored, loaded)
             AdoptionOutcome.ADOPTED
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
@@ -41,15 +41,16 @@
         val prefix = GatewayKeys.items(id, ownership.nonce)
         val puts = ArrayList<Write.Put>()
         var parts = 0
+        var written = true
         for (chunk in chunks) {
             // The last chunks are kept for the transaction with the ownership record.
-            if (puts.size == 2 * CHUNKS_PER_TRANSACTION && !putFirst(puts, CHUNKS_PER_TRANSACTION, retries)) {
-                return notWritten
-            }
+            if (puts.size == 2 * CHUNKS_PER_TRANSACTION) written = putFirst(puts, CHUNKS_PER_TRANSACTION, retries)
+            if (!written) break
             puts += Write.Put(GatewayKeys.chunk(prefix, parts++), chunk)
         }
         val earlier = puts.size - CHUNKS_PER_TRANSACTION
-        if (earlier > 0 && !putFirst(puts, earlier, retries)) return notWritten
+        if (written && earlier > 0) written = putFirst(puts, earlier, retries)
+        if (!written) return CreateOutcome.NotCreated("the items could not be written")
         val requested = ownership.copy(parts = parts)
         val key = GatewayKeys.batch(id)
         val ownershipPut = Write.Put(key, Jsons.wire.encodeToString(BatchOwnership.serializer(), requested))
@@ -123,7 +124,6 @@
     private companion object {
         /** Keeps each transaction well below the number of entries that the key-value service allows in one. */
         private const val CHUNKS_PER_TRANSACTION = 4
-        private val notWritten = CreateOutcome.NotCreated("the items could not be written")
     }
 }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
@@ -12,7 +12,6 @@
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
-import bergamotwall.model.ItemId
 import bergamotwall.model.ItemResult
 import bergamotwall.model.Jsons
 import com.github.michaelbull.result.Err
@@ -38,7 +37,7 @@
  * Guarantees: a batch exists once its ownership record does; results are appended only under the current revision of
  * the ownership record, and each position and each number of a text is written once.
  */
-internal class BatchStore(private val store: KeyValueStore) {
+internal class BatchStore(val store: KeyValueStore) {
     /** Reads the ownership record of [batch], null if there is none. */
     suspend fun ownership(batch: BatchId): Result<OwnershipRecord?, KeyValueError> =
         store.get(GatewayKeys.batch(batch)).andThen { entry ->
@@ -114,61 +113,6 @@
             decode(BatchRecord.serializer(), text, "the items of ${batch.value}")
         }
 
-    /**
-     * Reads the items of [batch] like [items], but chunk by chunk and without their bodies if it is large: a list of
-     * all chunks and the text that they are joined to would not fit in the heap.
-     */
-    suspend fun record(
-        batch: BatchId,
-        ownership: BatchOwnership,
-    ): Result<StoredRecord, KeyValueError> =
-        if (ownership.parts <= MAX_PARTS_AT_ONCE) {
-            items(batch, ownership).map { StoredRecord(it, null) }
-        } else {
-            largeRecord(batch, ownership)
-        }
-
-    private suspend fun largeRecord(
-        batch: BatchId,
-        ownership: BatchOwnership,
-    ): Result<StoredRecord, KeyValueError> {
-        val scanner = BodyScanner("bodyBase64")
-        val starts = IntArray(ownership.parts)
-        var position = 0
-        for (number in starts.indices) {
-            val text = chunk(batch, ownership.nonce, number).fold({ it.value }, { return Err(it) })
-            starts[number] = position
-            position += text.length
-            scanner.add(text)
-        }
-        return decode(BatchRecord.serializer(), scanner.rest, "the items of ${batch.value}").map { record ->
-            // A body without a number is the empty one that an item without a body has.
-            val places =
-                record.items.mapNotNull { item ->
-                    item.bodyBase64.toIntOrNull()?.let { item.id to scanner.bodies[it] }
-                }.toMap()
-            val items = record.items.map { it.copy(bodyBase64 = "") }
-            StoredRecord(record.copy(items = items), bodies(batch, ownership.nonce, starts, places))
-        }
-    }
-
-    /** The bodies at [places] in the chunks of [batch], which begin at [chunkStarts]. */
-    fun bodies(
-        batch: BatchId,
-        nonce: String,
-        chunkStarts: IntArray,
-        places: Map<ItemId, BodyPlace>,
-    ): StoredBodies = StoredBodies(chunkStarts, places) { chunk(batch, nonce, it) }
-
-    private suspend fun chunk(
-        batch: BatchId,
-        nonce: String,
-        number: Int,
-    ): Result<KeyValueEntry, KeyValueError> {
-        val key = GatewayKeys.chunk(GatewayKeys.items(batch, nonce), number)
-        return store.get(key).andThen { if (it == null) Err(unreadable(key)) else Ok(it) }
-    }
-
     /** Reads the results of [batch] in the order of their positions. */
     suspend fun results(batch: BatchId): Result<List<ItemResult>, KeyValueError> = chunks(GatewayKeys.results(batch))
 
@@ -194,8 +138,6 @@
         )
 
     private companion object {
-        /** Those of a batch of about 9.6 MB, nearly the largest that a process with a heap of 96 MB decodes at once. */
-        private const val MAX_PARTS_AT_ONCE = 24
         private val CHUNK_SERIALIZER = ListSerializer(ItemResult.serializer())
     }
 }
@@ -233,10 +175,10 @@
         OwnershipRecord(ownership, entry.modRevision, fields - known)
     }
 
-private fun unreadable(key: String) = KeyValueError.Rejected("$key can't be read")
+internal fun unreadable(key: String) = KeyValueError.Rejected("$key can't be read")
 
 /** Decodes [text], the content of [source], which another build of the program may have written. */
-private fun <T> decode(
+internal fun <T> decode(
     deserializer: DeserializationStrategy<T>,
     text: String,
     source: String,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -77,19 +77,18 @@
     /** Whether this process runs any batch. */
     public val runsAny: Boolean get() = ownedBatches.runsAny
 
-    /** Stores [record] durably and runs it, at the assigned owner of [route] or at this process. */
+    /**
+     * Stores [record] durably and runs it, at the assigned owner of [route] or at this process. If it is the record of
+     * the submission [large], it runs at this process: a message can't hold it.
+     */
     public suspend fun submit(
         record: BatchRecord,
         route: Route,
+        large: LargeSubmission? = null,
     ): SubmitOutcome =
-        withContext(loop) { submissionRouter.submit(record, route) }
-
-    /** Stores the large [submission] durably and runs it at this process. */
-    public suspend fun submit(
-        submission: LargeSubmission,
-        route: Route,
-    ): SubmitOutcome =
-        withContext(loop) { localSubmissions.submit(submission, route) }
+        withContext(loop) {
+            if (large == null) submissionRouter.submit(record, route) else localSubmissions.submit(record, route, large)
+        }
 
     /** Ownership of [batch], whose owner may have changed since; null if the batch does not exist. */
     public suspend fun ownership(batch: BatchId): Result<BatchOwnership?, KeyValueError> =
@@ -125,7 +124,7 @@
     ): ReadOutcome =
         withContext(loop) {
             val owned = ownedBatches.find(batch)
-            if (owned != null) return@withContext ownedBatches.body(owned, item)
+            if (owned != null) return@withContext owned.readBody(item)
             val response = remoteBatches.requestFromOwner(batch, FetchItem(batch, item), settings.peerTimeoutMillis)
             if (response is ItemBody) bodyOf(response.bodyBase64) else remoteBatches.body(batch, item)
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BodyScanner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BodyScanner.kt
@@ -42,7 +42,7 @@
     /** Whether [rest] is not complete, because it has more than [maxRestChars] characters. */
     public val restTooLarge: Boolean get() = restText.length > maxRestChars
 
-    /** Adds the next part of the text. Its characters may be the bytes of UTF-8: JSON uses only ASCII outside of strings. */
+    /** Adds the next part of the text, whose characters may be the bytes of UTF-8. */
     public fun add(text: String): Unit = text.forEach { add(it) }
 
     private fun add(char: Char) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -65,7 +65,7 @@
             return when {
                 !batch.active -> ItemOutcome.Cancelled
                 !batch.maySend || usable.none { it.id == target.id && it.address == target.address } ->
-                     ItemOutcome.NotRun("not sent after its body was read")
+                    ItemOutcome.NotRun("not sent after its body was read")
                 else -> send(batch, item, target, body, release)
             }
         } finally {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LargeSubmission.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LargeSubmission.kt
@@ -16,9 +16,6 @@
 ) {
     /** Characters of all bodies. */
     internal val chars: Int = bodies.sumOf { it.length }
-
-    /** The submission with [record] instead, which has the same items. */
-    public fun with(record: BatchRecord): LargeSubmission = LargeSubmission(record, bodies, received)
 }
 
 /**
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -38,24 +38,11 @@
         inProgress.first { it.isEmpty() }
     }
 
-    /** Stores [record] durably and starts to run it; refused if this process is not ready. */
+    /** Stores [record], that of the submission [large] if it is not null, and runs it; refused if not ready. */
     suspend fun submit(
         record: BatchRecord,
         route: Route,
-    ): SubmitOutcome = submit(record, null, route)
-
-    /**
-     * Stores [submission] as for other batches. It is not transferred to the assigned owner: a message can't hold it.
-     */
-    suspend fun submit(
-        submission: LargeSubmission,
-        route: Route,
-    ): SubmitOutcome = submit(submission.record, submission, route)
-
-    private suspend fun submit(
-        record: BatchRecord,
-        large: LargeSubmission?,
-        route: Route,
+        large: LargeSubmission? = null,
     ): SubmitOutcome {
         val ready = dependencies.self().ready
         ownedBatches.find(record.id)?.let { return outcomeOfExisting(record, it.known.record.ownership) }
@@ -128,15 +115,12 @@
             is CreateOutcome.Created ->
                 ownedBatches.add(
                     OwnedBatch(
-                        if (text == null) record else record.copy(items = record.items.map { it.copy(bodyBase64 = "") }),
+                        if (large == null) record else record.withoutBodies(),
                         ownedBatches.known(outcome.record, sentAt),
                         route,
                         dependencies.shared.clock.monotonicMillis(),
                         emptyList(),
-                        bodies = text?.let {
-                            store.bodies(record.id, requested.nonce, it.chunkStarts.toIntArray(), it.places)
-                        },
-                    ),
+                    ).also { it.bodies = text?.let { stored -> store.bodies(record.id, requested.nonce, stored) } },
                 )
             // An earlier creation by this process may have taken effect although its response was lost.
             is CreateOutcome.Existed -> if (outcome.record.ownership.owner == self.id) onUnconfirmed(record.id)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -7,6 +7,7 @@
 import bergamotwall.model.ItemResult
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
+import com.github.michaelbull.result.fold
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 
@@ -15,8 +16,7 @@
  * durably. Confined to the batch loop.
  *
  * [acceptedAtMillis] is on the monotonic clock; for an adopted batch it is the time of adoption. [stored] holds the
- * results that earlier owners stored, [storedTexts] the texts that they stored for scoring. [bodies] holds the bodies of
- * the items of a large batch, which are not in memory; null for other batches.
+ * results that earlier owners stored, [storedTexts] the texts that they stored for scoring.
  */
 internal class OwnedBatch(
     val record: BatchRecord,
@@ -25,8 +25,10 @@
     val acceptedAtMillis: Long,
     stored: List<ItemResult>,
     storedTexts: List<ItemResult> = emptyList(),
-    val bodies: StoredBodies? = null,
 ) {
+    /** Reads the bodies of the items of a large batch, which are not in memory; null for other batches. */
+    var bodies: StoredBodies? = null
+
     private val results = ArrayList(stored)
     private val pending = ArrayDeque<ItemResult>()
     private val pendingForScoring = ArrayDeque<ItemResult>()
@@ -183,6 +185,12 @@
     }
 }
 
+/** Reads the request body of [item]. */
+internal suspend fun OwnedBatch.readBody(item: ItemId): ReadOutcome {
+    val stored = bodies.takeIf { item in items } ?: return bodyOf(body(item))
+    return stored.read(item).fold({ ReadOutcome.Body(it) }, { ReadOutcome.Unavailable(it.detail) })
+}
+
 /** Returns the [results] from position [after] on that fit in [maxBytes], but at least one if there is any. */
 internal fun pageOf(
     total: Int,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -6,7 +6,6 @@
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchId
-import bergamotwall.model.ItemId
 import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.Decision
 import com.github.michaelbull.result.fold
@@ -80,17 +79,6 @@
         rewardDispatcher.wake()
     }
 
-    /** Reads the request body of [item] of [batch]. */
-    suspend fun body(
-        batch: OwnedBatch,
-        item: ItemId,
-    ): ReadOutcome =
-        if (batch.bodies == null || item !in batch.items) {
-            bodyOf(batch.body(item))
-        } else {
-            batch.bodies.read(item).fold({ ReadOutcome.Body(it) }, { ReadOutcome.Unavailable(it.detail) })
-        }
-
     /** Batches that have neither ended nor been relinquished. */
     val active: List<OwnedBatch> get() = retained.all.filter { it.active }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/StoredBodies.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/StoredBodies.kt
@@ -7,38 +7,62 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 
 /**
  * The bodies of the items of a large batch, which are read from its chunks in the key-value service when they are
- * needed. Chunk `i` begins at position `chunkStarts[i]` of the stored text, to which [places] refers; [chunk] reads one.
+ * needed. Chunk `i` begins at position `chunkStarts[i]` of the stored text, to which [places] refers. [chunk] reads a
+ * chunk.
  */
 internal class StoredBodies(
     private val chunkStarts: IntArray,
     private val places: Map<ItemId, BodyPlace>,
     private val chunk: suspend (Int) -> Result<KeyValueEntry, KeyValueError>,
 ) {
+    private val reading = Mutex()
+
+    /** The chunk that was read last, which often holds the bodies of the next items too. */
+    private var lastNumber = -1
+    private var lastText = ""
+
     /** Number of bytes of the body of [item]. */
     fun byteCount(item: ItemId): Int = places[item]?.byteCount ?: 0
 
     /** Reads the body of [item]; empty if the item has none. */
-    suspend fun read(item: ItemId): Result<ByteArray, KeyValueError> {
-        val place = places[item] ?: return Ok(ByteArray(0))
+    suspend fun read(item: ItemId): Result<ByteArray, KeyValueError> =
+        places[item]?.let { read(it) } ?: Ok(ByteArray(0))
+
+    private suspend fun read(place: BodyPlace): Result<ByteArray, KeyValueError> {
         val bytes = ByteArray(place.byteCount ?: 0)
         val decoder = BodyDecoder(bytes)
         val end = place.start + place.length
         var position = place.start
-        while (position < end) {
+        var error: KeyValueError? = null
+        while (position < end && error == null) {
             val number = chunkAt(position)
-            val text = chunk(number).fold({ it.value }, { return Err(it) })
-            val from = position - chunkStarts[number]
-            val to = minOf(text.length, end - chunkStarts[number])
-            if (to <= from) return Err(KeyValueError.Rejected("chunk $number is shorter than it was"))
-            for (index in from until to) decoder.add(text[index])
-            position += to - from
+            val start = chunkStarts[number]
+            val text = textOf(number).fold({ it }, { return Err(it) })
+            val to = minOf(text.length, end - start)
+            for (index in position - start until to) decoder.add(text[index])
+            if (start + to <= position) error = KeyValueError.Rejected("chunk $number is shorter than it was")
+            position = start + to
         }
-        return Ok(bytes)
+        return error?.let { Err(it) } ?: Ok(bytes)
     }
 
+    /** Reads one chunk at a time: reading one takes several times its size. */
+    private suspend fun textOf(number: Int): Result<String, KeyValueError> =
+        reading.withLock {
+            if (number == lastNumber) return Ok(lastText)
+            chunk(number).map { entry ->
+                lastNumber = number
+                lastText = entry.value
+                lastText
+            }
+        }
+
     private fun chunkAt(position: Int): Int {
         val found = chunkStarts.binarySearch(position)
         return if (found >= 0) found else -found - 2
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -72,22 +72,14 @@
     public suspend fun <T : Any> decoding(
         bodyBytes: Int,
         block: suspend () -> T,
-    ): T? = holding(bodyBytes, minOf(bodyBytes * DECODED_COPIES, memory.budget.maxRequestBytes - bodyBytes), block)
-
-    /** Like [decoding] for a batch that can't be decoded at once. */
-    public suspend fun <T : Any> decodingLarge(
-        bodyBytes: Int,
-        block: suspend () -> T,
-    ): T? {
-        val remainingBytes = maxOf(0, memory.budget.maxRequestBytes - bodyBytes - HEAD_BYTES)
-        return holding(bodyBytes, minOf(maxBatchRestBytes * REST_COPIES, remainingBytes), block)
-    }
-
-    private suspend fun <T : Any> holding(
-        bodyBytes: Int,
-        bytes: Long,
-        block: suspend () -> T,
     ): T? {
+        val remainingBytes = memory.budget.maxRequestBytes - bodyBytes
+        val bytes =
+            if (bodyBytes <= maxBatchBytes) {
+                minOf(bodyBytes * DECODED_COPIES, remainingBytes)
+            } else {
+                minOf(maxBatchRestBytes * REST_COPIES, maxOf(0, remainingBytes - HEAD_BYTES))
+            }
         val deadlineMillis = nowMillis + settings.memoryWaitMillis
         while (!memory.hold(IntakeClass.BATCHES, bytes, ownBytes = bodyBytes.toLong(), privileged = false)) {
             if (nowMillis > deadlineMillis) return null
