--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Intake.kt
@@ -167,7 +167,7 @@
         /** The account has room for that with its copies beside the body of a batch of 32 MiB and other requests. */
         private const val REST_PARTS = 4
 
-        /** Its text and its items. The body is not in the heap, and its chunks are stored after the text is dropped. */
+        /** Its text and its items. The whole body is outside the heap. */
         private const val REST_COPIES = 2L
 
         /** Room for the heads of the submission and of other requests. */
