--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
@@ -37,7 +37,7 @@
  * Guarantees: a batch exists once its ownership record does; results are appended only under the current revision of
  * the ownership record, and each position and each number of a text is written once.
  */
-internal class BatchStore(private val store: KeyValueStore) {
+internal class BatchStore(val store: KeyValueStore) {
     /** Reads the ownership record of [batch], null if there is none. */
     suspend fun ownership(batch: BatchId): Result<OwnershipRecord?, KeyValueError> =
         store.get(GatewayKeys.batch(batch)).andThen { entry ->
@@ -175,10 +175,10 @@
         OwnershipRecord(ownership, entry.modRevision, fields - known)
     }
 
-private fun unreadable(key: String) = KeyValueError.Rejected("$key can't be read")
+internal fun unreadable(key: String) = KeyValueError.Rejected("$key can't be read")
 
 /** Decodes [text], the content of [source], which another build of the program may have written. */
-private fun <T> decode(
+internal fun <T> decode(
     deserializer: DeserializationStrategy<T>,
     text: String,
     source: String,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -27,6 +27,7 @@
     private val onUnconfirmed: (BatchId) -> Unit,
 ) {
     private val creator = BatchCreator(dependencies.store, settings.partChars)
+    private val store = BatchStore(dependencies.store)
     private val inProgress = MutableStateFlow(emptyList<BatchId>())
 
     /** Whether a submission of [id] is in progress. */
@@ -37,11 +38,12 @@
         inProgress.first { it.isEmpty() }
     }
 
-    /** Stores [record] durably and starts to run it; refused if this process is not ready. */
+    /** Stores [record], that of the submission [large] if it is not null, and runs it; refused if not ready. */
     suspend fun submit(
         record: BatchRecord,
         route: Route,
-    ): SubmitOutcome = decidedOutcome(record) ?: createAndRecord(record, route)
+        large: LargeSubmission? = null,
+    ): SubmitOutcome = decidedOutcome(record) ?: createAndRecord(record, large, route)
 
     /** The outcome of submitting [record] if this process knows it without a call; null if it is to be created. */
     fun decidedOutcome(record: BatchRecord): SubmitOutcome? {
@@ -56,9 +58,10 @@
 
     private suspend fun createAndRecord(
         record: BatchRecord,
+        large: LargeSubmission?,
         route: Route,
     ): SubmitOutcome {
-        val outcome = scope.async { trackInProgress(record.id) { create(record, route) } }.await()
+        val outcome = scope.async { trackInProgress(record.id) { create(record, large, route) } }.await()
         dependencies.shared.metrics.submitted(route.name, outcome.javaClass.simpleName)
         dependencies.shared.journal.record(
             Decision(
@@ -85,6 +88,7 @@
 
     private suspend fun create(
         record: BatchRecord,
+        large: LargeSubmission?,
         route: Route,
     ): CreateOutcome {
         val self = dependencies.self()
@@ -100,23 +104,26 @@
                 workspace = record.workspace,
             )
         val sentAt = dependencies.shared.clock.read()
-        val deadlineMillis = sentAt.monotonicMillis + settings.acceptMillis
+        val text = large?.let { LargeRecordText(it, settings.partChars) }
+        val acceptMillis = settings.acceptMillis * (1 + (large?.chars ?: 0) / CHARS_PER_ACCEPT_TIME)
+        val deadlineMillis = sentAt.monotonicMillis + acceptMillis
+        val retries = RetrySchedule(dependencies.shared.clock, dependencies.shared.random, deadlineMillis)
         val outcome =
-            creator.create(
-                record,
-                requested,
-                RetrySchedule(dependencies.shared.clock, dependencies.shared.random, deadlineMillis),
-            )
+            if (text == null) {
+                creator.create(record, requested, retries)
+            } else {
+                creator.create(record.id, text.chunks(), requested, retries)
+            }
         when (outcome) {
             is CreateOutcome.Created ->
                 ownedBatches.add(
                     OwnedBatch(
-                        record,
+                        if (large == null) record else record.withoutBodies(),
                         ownedBatches.known(outcome.record, sentAt),
                         route,
                         dependencies.shared.clock.monotonicMillis(),
                         emptyList(),
-                    ),
+                    ).also { it.bodies = text?.let { stored -> store.bodies(record.id, requested.nonce, stored) } },
                 )
             // An earlier creation by this process may have taken effect although its response was lost.
             is CreateOutcome.Existed -> if (outcome.record.ownership.owner == self.id) onUnconfirmed(record.id)
@@ -153,6 +160,9 @@
     private companion object {
         private const val NONCE_RADIX = 36
 
+        /** About as much as is stored at once for other batches, for which [BatchSettings.acceptMillis] is enough. */
+        private const val CHARS_PER_ACCEPT_TIME = 10_000_000
+
         /** A refusal follows seconds of retries, after which most outages of the key-value service are over. */
         private const val RETRY_AFTER_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatch.kt
@@ -7,6 +7,7 @@
 import bergamotwall.model.ItemResult
 import bergamotwall.model.TargetId
 import bergamotwall.model.WeightVersion
+import com.github.michaelbull.result.fold
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 
@@ -25,6 +26,9 @@
     stored: List<ItemResult>,
     storedTexts: List<ItemResult> = emptyList(),
 ) {
+    /** Reads the bodies of the items of a large batch, which are not in memory; null for other batches. */
+    var bodies: StoredBodies? = null
+
     private val results = ArrayList(stored)
     private val pending = ArrayDeque<ItemResult>()
     private val pendingForScoring = ArrayDeque<ItemResult>()
@@ -183,7 +187,7 @@
         return if (mayLackResults) null else pageOf(record.items.size, results, after, maxBytes)
     }
 
-    /** Request body of [item] in base64, or null if the batch has no such item. */
+    /** Request body of [item] in base64, or null if the batch has no such item. Not for large batches, see [bodies]. */
     fun body(item: ItemId): String? = items[item]?.spec?.bodyBase64
 
     /** Cancels all runs in progress. */
@@ -192,6 +196,12 @@
     }
 }
 
+/** Reads the request body of [item]. */
+internal suspend fun OwnedBatch.readBody(item: ItemId): ReadOutcome {
+    val stored = bodies.takeIf { item in items } ?: return bodyOf(body(item))
+    return stored.read(item).fold({ ReadOutcome.Body(it) }, { ReadOutcome.Unavailable(it.detail) })
+}
+
 /** Returns the [results] from position [after] on that fit in [maxBytes], but at least one if there is any. */
 internal fun pageOf(
     total: Int,
