Let a completion end before its subscription has begun

Seen: DriverBytesWithoutEndTest, a completion ends where no event comes for long, fields, 1 of 15 runs beside the linter: lateinit property subscription has not been initialized instead of no event. Cause: the flow of a publisher cancels the subscription when it ends and fails if there is none yet; a busy event loop sends it after the timeout of 500 ms. Change: ReceivedParts takes the parts; a subscription that begins after the end is cancelled. ReceivedPartsTest shows the order of events; the failure itself was not seen again before the change.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -26,10 +26,7 @@
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.flow.produceIn
 import kotlinx.coroutines.future.await
-import kotlinx.coroutines.reactive.asFlow
 import kotlinx.coroutines.withTimeoutOrNull
 import org.reactivestreams.Publisher
 import java.time.Duration
@@ -130,21 +127,21 @@
         body: Publisher<HttpData>,
         events: CompletionEvents,
     ): Result<Unit, TargetError> =
-        coroutineScope {
-            val parts = body.asFlow().produceIn(this)
+        ReceivedParts().use { parts ->
+            body.subscribe(parts)
             var error: TargetError? = null
             var open = true
             while (open && error == null) {
                 val remainingMillis = idleTimeoutMillis - events.idleMillis
-                val received = withTimeoutOrNull(remainingMillis) { parts.receiveCatching() }
+                val received = withTimeoutOrNull(remainingMillis) { parts.receive() }
                 val data = received?.getOrNull()
+                received?.exceptionOrNull()?.let { throw it }
                 when {
                     received == null -> error = noEvent()
                     data == null -> open = false
                     else -> events.add(data)
                 }
             }
-            parts.cancel()
             when {
                 error != null -> Err(error)
                 events.completed -> Ok(Unit)
