--- a/decisions/src/main/kotlin/bergamotwall/decisions/scaling/ScalingDecision.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/scaling/ScalingDecision.kt
@@ -91,7 +91,7 @@
     fun scaleUp() {
         val before = planned
         var goal = scaling.sustained.withReserve
-        // How many spot targets are safe depends on how many targets there are in the end.
+        // The number of spot targets that is safe depends on the final number of targets.
         while (true) {
             planned = before
             var pool = cheapest(goal)
