Move no item because its target pauses

Ruled out: the leadership of weight orders, which stayed with one process. Change: pauses are no reason to move, and intervals over 350 ms do not count as pace.

--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/EventPace.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/EventPace.kt
@@ -22,6 +22,8 @@
     private companion object {
         /** Longer than a momentary slowdown of a VM that shares its processors with others. */
         private const val SMOOTHING_MILLIS = 600.0
-        private const val MAX_INTERVAL_MILLIS = 700L
+
+        /** Longer than between events at a target that is four times slower than usual. */
+        private const val MAX_INTERVAL_MILLIS = 350L
     }
 }
--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemMoves.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemMoves.kt
@@ -5,13 +5,12 @@
 /**
  * Chooses the runs that are to continue at another target, at most [maxMoves], those with most time left first.
  *
- * Made for training steps that wait for their slowest group while some targets are several times slower than others, or
- * have stopped sending without closing their connections. A target reads a prompt and the events generated so far in
- * milliseconds, so a run that has many events left ends earlier at a faster target. How many are left is not known: it
- * is taken to be what is left of the [typicalEvents] of an item, or as many as have been received if that is more, as
- * lengths are heavy-tailed. A run moves only if that saves [MIN_SAVED_MILLIS] and a third of its time, and only to a
- * target that keeps a quarter of its slots free for new requests. A pause of less than [MIN_SILENT_MILLIS] is taken for
- * one in which the target loads weights.
+ * Made for training steps that wait for their slowest group while some targets are several times slower than others. A
+ * target reads a prompt and the events generated so far in milliseconds, so a run that has many events left ends
+ * earlier at a faster target. How many are left is not known: it is taken to be what is left of the [typicalEvents] of
+ * an item, or as many as have been received if that is more, as lengths are heavy-tailed. A run moves only if that
+ * saves [MIN_SAVED_MILLIS] and a third of its time, and only to a target that keeps a quarter of its slots free for new
+ * requests. Pauses are no reason to move: a target that sends nothing for a second or two usually loads weights.
  */
 public fun itemsToMove(
     runs: List<ItemRun>,
@@ -39,18 +38,14 @@
     return moves
 }
 
-/** Whether a run that has received nothing for [millis] is at a target that may have stopped sending. */
-public fun isSilent(millis: Long): Boolean = millis >= MIN_SILENT_MILLIS
-
-/** Time until [run] is expected to end at its target. A target that is silent is expected to stay so as long again. */
+/** Time until [run] is expected to end at its target; 0 if its pace is not known. */
 private fun stayMillis(
     run: ItemRun,
     paces: Map<TargetId, TargetPace>,
     typicalEvents: Double,
 ): Double {
     val eventMillis = paces[run.target]?.eventMillis ?: return 0.0
-    val silentMillis = if (isSilent(run.silentMillis)) run.silentMillis.toDouble() else 0.0
-    return silentMillis + leftEvents(run, typicalEvents) * eventMillis
+    return leftEvents(run, typicalEvents) * eventMillis
 }
 
 private fun leftEvents(
@@ -65,8 +60,6 @@
 private const val MIN_SAVED_MILLIS = 400.0
 private const val MIN_SAVED_SHARE = 1 / 3.0
 
-/** Targets load weights in about a second. */
-private const val MIN_SILENT_MILLIS = 1_200L
 private const val RESERVED_SLOTS = 4
 
 /** A run that was slow at three targets is slow for a reason of its own. */
--- a/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemRun.kt
+++ b/decisions/src/main/kotlin/bergamotwall/decisions/batches/ItemRun.kt
@@ -4,14 +4,12 @@
 
 /**
  * A run of a batch item, identified by its [ticket], at [target]. [received] is the number of events of the item that
- * have been received, [silentMillis] the time since the last one, or since the item was sent. [eligible] are the
- * targets that may continue it, and [moves] is how often it was moved before.
+ * have been received. [eligible] are the targets that may continue it, and [moves] is how often it was moved before.
  */
 public data class ItemRun(
     val ticket: Int,
     val target: TargetId,
     val received: Int,
-    val silentMillis: Long,
     val eligible: Set<TargetId>,
     val moves: Int = 0,
 )
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemDispatcher.kt
@@ -131,7 +131,6 @@
         dispatched.item.sentAtMillis = nowMillis
         dispatched.item.resumedAfter = dispatched.item.lastEventId
         dispatched.item.running = true
-        dispatched.item.progressAtMillis = nowMillis
         dispatched.item.target = target.id
         dispatched.item.attempts++
         dispatched.batch.groupTargets[dispatched.item.spec.group] = target.id
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemMover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemMover.kt
@@ -3,7 +3,6 @@
 import bergamotwall.decisions.batches.ItemMove
 import bergamotwall.decisions.batches.ItemRun
 import bergamotwall.decisions.batches.TargetPace
-import bergamotwall.decisions.batches.isSilent
 import bergamotwall.decisions.batches.itemsToMove
 import bergamotwall.gateway.targets.SendPurpose
 import bergamotwall.gateway.targets.Target
@@ -35,14 +34,13 @@
             val varies =
                 routes.service(service)?.scaling != null || usable.any { dependencies.loads.of(it.id).latency.varies }
             val ofService = batches.filter { batch -> batch.route.shares.any { it.service == service } }
-            if (varies) step(ofService, usable, nowMillis)
+            if (varies) step(ofService, usable)
         }
     }
 
     private fun step(
         batches: List<OwnedBatch>,
         usable: List<Target>,
-        nowMillis: Long,
     ) {
         val running =
             batches.filter { it.maySend }.flatMap { batch ->
@@ -56,21 +54,19 @@
                 val candidate = candidates[id]?.takeIf { it.available }
                 TargetPace(id, eventMillis, candidate?.free ?: 0, candidate?.slots ?: 1)
             }
-        val runs = running.mapIndexed { ticket, item -> runOf(ticket, item, usable, nowMillis) }
+        val runs = running.mapIndexed { ticket, item -> runOf(ticket, item, usable) }
         itemsToMove(runs, targetPaces, paces.typicalEvents, maxOf(1, runs.size / MOVED_PART))
-            .forEach { move(running[it.ticket], it, targetPaces, nowMillis) }
+            .forEach { move(running[it.ticket], it, targetPaces) }
     }
 
     private fun runOf(
         ticket: Int,
         running: DispatchableItem,
         usable: List<Target>,
-        nowMillis: Long,
     ) = ItemRun(
         ticket = ticket,
         target = checkNotNull(running.item.target),
         received = running.item.eventCount,
-        silentMillis = nowMillis - running.item.progressAtMillis,
         eligible = usable.filter { running.continues(it) }.mapTo(HashSet()) { it.id },
         moves = running.item.moves,
     )
@@ -79,22 +75,19 @@
         running: DispatchableItem,
         move: ItemMove,
         targetPaces: Map<TargetId, TargetPace>,
-        nowMillis: Long,
     ) {
         val (batch, item) = running
         val from = checkNotNull(item.target)
         Logger.info(
-            "event=item_moved id={} from={} to={} events={} silentMillis={} paces={},{} savedMillis={}",
+            "event=item_moved id={} from={} to={} events={} paces={},{} savedMillis={}",
             item.spec.id.value,
             from.value,
             move.target.value,
             item.eventCount,
-            nowMillis - item.progressAtMillis,
             targetPaces[from]?.eventMillis?.toLong(),
             targetPaces[move.target]?.eventMillis?.toLong(),
             move.savedMillis,
         )
-        if (isSilent(nowMillis - item.progressAtMillis)) dependencies.loads.of(from).failed(nowMillis)
         item.moving = true
         item.moves++
         batch.groupTargets[item.spec.group] = move.target
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemRunner.kt
@@ -198,7 +198,6 @@
                 if (!first) paces.received(target.id, nowMillis - lastEventAtMillis, item.eventCount - eventCount)
                 first = false
                 lastEventAtMillis = nowMillis
-                item.progressAtMillis = nowMillis
             }
         }
         return outcome
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemState.kt
@@ -41,9 +41,6 @@
     /** How often the item was moved to another target. */
     var moves = 0
 
-    /** When the last event of the current run arrived, or the item was sent, on the monotonic clock. */
-    var progressAtMillis = 0L
-
     /** How far the item has come. */
     var phase: ItemPhase = ItemPhase.Generating
 
