Move items only where targets report a slowdown

Change: services with scaling are no longer included. Their targets have equal speeds there; few are slow, for seconds.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemMover.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ItemMover.kt
@@ -12,8 +12,7 @@
 
 /**
  * Ends runs of items at targets that are much slower than others, so that they continue there; see [itemsToMove].
- * Applies to services whose targets report that their speed varies, or come and go by orders. Confined to the batch
- * loop.
+ * Applies to services whose targets report that their speed varies. Confined to the batch loop.
  */
 internal class ItemMover(
     private val dependencies: TargetDependencies,
@@ -27,12 +26,10 @@
         if (nowMillis < nextAtMillis) return
         nextAtMillis = nowMillis + PERIOD_MILLIS
         val targets = dependencies.gatewayState.targets.read()
-        val routes = dependencies.gatewayState.routes.read()
         val services = batches.flatMap { it.route.shares }.map { it.service }.distinct()
         for (service in services) {
             val usable = targets.usable(service)
-            val varies =
-                routes.service(service)?.scaling != null || usable.any { dependencies.loads.of(it.id).latency.varies }
+            val varies = usable.any { dependencies.loads.of(it.id).latency.varies }
             val ofService = batches.filter { batch -> batch.route.shares.any { it.service == service } }
             if (varies) step(ofService, usable)
         }
