--- a/gateway/src/main/kotlin/bergamotwall/gateway/scaling/DemandReporter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/scaling/DemandReporter.kt
@@ -8,7 +8,7 @@
 import com.github.michaelbull.result.get
 
 /**
- * Reports the demand at this process to the leader: to a new one at once, then if it has changed, and now and then
+ * Reports the demand at this process to the leader: to a new one at once, then if it has changed, and at intervals
  * while there is any. A leader that is not reached directly gets the report over another process. Not thread-safe.
  */
 internal class DemandReporter(private val dependencies: ScalingDependencies) {
