--- a/review/harness-2/PartialBody.java
+++ b/review/harness-2/PartialBody.java
@@ -1,45 +1,60 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicReference;
 
-/** A replica crashes while it works on a request whose long body is still on its way: the request runs once more. */
+/**
+ * A replica answers a request before it has read the whole of its long body; the answer is lost and the channel reset:
+ * the request runs once more.
+ */
 final class PartialBody extends Case {
-    private static final int BODY_BYTES = 16_000_000;
-    private static final int REQUESTS = 5;
-    /** How long a replica that has crashed is down. */
-    private static final long DOWN_MILLIS = 4_500;
+    private static final int LONG_BYTES = 16_000_000;
+    private static final int SHORT_BYTES = 600;
+    private static final int ROUNDS = 6;
+    /** Longest time for which answers of the replica are lost, and the pause between two such times. */
+    private static final long LOSS_MILLIS = 4_000;
+    private static final long PAUSE_MILLIS = 3_000;
+    /** At most one in so many of the answers of the replica is lost. */
+    private static final int RUNS_PER_LOSS = 20;
+
     private final List<String> runs = new CopyOnWriteArrayList<>();
-    /** The request under which the next replica that runs it crashes, null if none does. */
-    private final AtomicReference<String> crashing = new AtomicReference<>();
+    private final Desk[] replicas = {new Desk("i-1", "gent-dock"), new Desk("i-2", "antwerp-dock"),
+            new Desk("i-3", "leuven-dock")};
+    /** The replica whose answer to its next long request is lost, null if none is. */
+    private volatile Desk losing;
 
     PartialBody() throws IOException {
     }
 
-    /** Begins to work once it has read the first part of a body, and reads on while it works. */
-    private final class Uploads extends Replica {
-        private volatile boolean crashed;
+    /** Works on a request as soon as the first part of its body is there, and answers when the work is done. */
+    private final class Desk extends Replica {
+        private volatile int served;
 
-        Uploads(String id, String zone) {
+        Desk(String id, String zone) {
             super(id, "restock-desk", zone, 6);
             receiveBytes = 65_536;
         }
 
         @Override
         boolean serve(String requestId, Http.Head head, Socket channel, BufferedInputStream in) throws Exception {
-            in.readNBytes(16_384);
+            int length = Integer.parseInt(head.get("Content-Length"));
+            int first = Math.min(length, 16_384);
+            in.readNBytes(first);
             runs.add(requestId);
+            served++;
             log("replica %s begins to work on %s", id, requestId);
-            sleep(50);
-            if (requestId.equals(crashing.get()) && crashing.getAndSet(null) != null) {
-                log("replica %s crashes", id);
-                crashed = true;
-                crash();
+            sleep(workMillis);
+            if (losing == this && length == LONG_BYTES) {
+                losing = null;
+                log("replica %s has done its work on %s; its answer 200 is lost, the channel is reset", id, requestId);
+                channel.setSoLinger(true, 0);
                 return false;
             }
-            in.readNBytes(Integer.parseInt(head.get("Content-Length")) - 16_384);
+            in.readNBytes(length - first);
             log("replica %s answers %s", id, requestId);
             Http.respond(channel.getOutputStream(), 200, fields(requestId, true), "done".getBytes());
             return true;
@@ -49,41 +64,53 @@
     @Override
     String run() throws Exception {
         store.open();
-        Uploads[] replicas = {new Uploads("i-1", "gent-dock"), new Uploads("i-2", "antwerp-dock"),
-                new Uploads("i-3", "leuven-dock")};
         configure(4, List.of(route("/desk/", "non_idempotent", "restock-desk")),
                 List.of(Json.of("name", "restock-desk", "healthPath", "/healthz", "maxConnections", 96L)));
-        for (Uploads replica : replicas) {
+        for (Desk replica : replicas) {
             replica.open();
             replica.register(store, "ready");
         }
         start(2, 1);
-        for (int i = 1; i <= REQUESTS; i++) {
-            String id = "9c41d07be2a35f6" + i;
-            crashing.set(trouble ? id : null);
-            Node entry = entries.get(i % entries.size());
-            String answer;
-            try {
-                answer = "" + Http.call(entry.front, "POST", "/desk/" + i, fields(id), new byte[BODY_BYTES], 12_000)
-                        .status();
-            } catch (IOException e) {
-                answer = e.toString();
+        int number = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            log("round %d", round + 1);
+            long until = elapsedMillis() + LOSS_MILLIS;
+            for (Desk replica : replicas) replica.served = 0;
+            while (busiest().served < RUNS_PER_LOSS && elapsedMillis() < until) {
+                List<Thread> clients = new ArrayList<>();
+                for (int i = 0; i < 8; i++) {
+                    int n = number++;
+                    clients.add(thread(() -> send(n, SHORT_BYTES)));
+                }
+                for (Thread client : clients) client.join();
             }
-            log("request %s: answered %s", id, answer);
-            if (!trouble) continue;
-            sleep(DOWN_MILLIS);
-            for (Uploads replica : replicas) {
-                if (!replica.crashed) continue;
-                replica.open();
-                replica.crashed = false;
-                replica.register(store, "ready");
-                log("replica %s is back", replica.id);
+            losing = trouble && busiest().served >= RUNS_PER_LOSS ? busiest() : null;
+            for (int i = 0; i < 6 && elapsedMillis() < until && (i == 0 || losing != null); i++) {
+                send(number++, LONG_BYTES);
             }
-            sleep(1_500);
+            losing = null;
+            sleep(PAUSE_MILLIS);
         }
         List<String> twice = runs.stream().distinct().filter(id -> runs.stream().filter(id::equals).count() > 1)
                 .toList();
-        log("runs: %s", runs);
+        log("%d runs of %d requests", runs.size(), number);
         return twice.isEmpty() ? null : "TWICE: more than one run of " + twice;
     }
+
+    private Desk busiest() {
+        return Arrays.stream(replicas).max(Comparator.comparingInt(replica -> replica.served)).orElseThrow();
+    }
+
+    private void send(int number, int bytes) {
+        String id = String.format("9c41d07be2a3%04d", number);
+        Node entry = entries.get(number % entries.size());
+        String answer;
+        try {
+            answer = "" + Http.call(entry.front, "POST", "/desk/" + number, fields(id), new byte[bytes], 12_000)
+                    .status();
+        } catch (IOException e) {
+            answer = e.toString();
+        }
+        log("request %s of %d bytes: answered %s", id, bytes, answer);
+    }
 }
