--- a/platform/src/test/kotlin/bergamotwall/platform/RawTargetStandIn.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/RawTargetStandIn.kt
@@ -1,4 +1,4 @@
-package bergamotwall.platform
+package bergamotwall.standins.fakes
 
 import java.io.IOException
 import java.io.InputStream
@@ -9,19 +9,21 @@
 import kotlin.concurrent.thread
 
 /**
- * Target that sends exactly the bytes that [respond] returns for the head of a request. It then closes the connection,
- * unless [leftoverOf] is given: what that returns for a response is sent on the same connection before the next one.
+ * Target that sends exactly the bytes, one for each character, that [respond] returns for the head of a request. It
+ * then closes the connection, unless [leftoverOf] is given: what that returns for a response is sent on the same
+ * connection before the next one.
  */
-internal class RawTargetStandIn(
+public class RawTargetStandIn(
     private val leftoverOf: ((String) -> String)? = null,
     private val respond: (String) -> String,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
     /** Heads of the requests received. */
-    val heads = CopyOnWriteArrayList<String>()
+    public val heads: MutableList<String> = CopyOnWriteArrayList<String>()
 
-    val address: String get() = "127.0.0.1:${server.localPort}"
+    /** Where it accepts connections, `host:port`. */
+    public val address: String get() = "127.0.0.1:${server.localPort}"
 
     init {
         thread(isDaemon = true) { acceptUntilClosed() }
@@ -49,7 +51,7 @@
                 socket.getInputStream().readNBytes(LENGTH.find(head)?.groupValues?.get(1)?.toInt() ?: 0)
                 heads += head
                 val response = respond(head)
-                socket.getOutputStream().write((leftover + response).toByteArray())
+                socket.getOutputStream().write((leftover + response).toByteArray(Charsets.ISO_8859_1))
                 leftover = leftoverOf?.invoke(response)
             }
         } catch (@Suppress("SwallowedException") e: IOException) {
