Reject malformed responses of targets

What callers saw: a target's response with the status 000 reached them as a response (MIXED); so did other numbers that are no status, 0200 as a 200, a field whose name contains a blank, cut at it, and, where that field was Content-Length, a body without its end. Cause: Netty's response decoder takes any number for a status, ends the name of a field at the first blank, ignores codings other than chunks and bytes after a chunk, and nothing checked what it made of a head. Change: StrictResponseDecoder checks the bytes that Netty decodes by the grammar of RFC 9112 (ResponseSyntax) and fails before a malformed head is passed on: the attempt fails as one that may have run, without a promise, and the connection is closed. Requests, streams, relays, items, reward calls, orders and reports share it. Metric responses_in_doubt, reason malformed. Why it works: bytes are believed only if both Netty and the grammar accept them; Netty still tells where a message ends, so the two can't disagree.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -337,7 +337,7 @@
         metrics.gauge("connections_opened", "Connections to targets opened since the start.") {
             drivers.client.connectionsOpened
         }
-        metrics.labelledGauge("responses_in_doubt", "Responses that may have belonged to another request.", "reason") {
+        metrics.labelledGauge("responses_in_doubt", "Responses that were not trusted.", "reason") {
             ResponseDoubt.entries.associate { it.name.lowercase() to drivers.client.responsesInDoubt(it) }
         }
     }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/ResponseDoubt.kt
@@ -1,7 +1,7 @@
 package bergamotwall.gateway.http
 
 /**
- * Why bytes that a target sent may not belong to the request that waits for a response. Unless it is [OTHER_ID], they
+ * Why bytes that a target sent may not be the response to the request that waits for one. Unless it is [OTHER_ID], they
  * end the exchange and its connection.
  */
 public enum class ResponseDoubt {
@@ -20,6 +20,9 @@
     /** The body of the response contains the beginning of another one. */
     JOINED_BODY,
 
+    /** The response is malformed, so that its status, its fields or its body may not be those that the target meant. */
+    MALFORMED,
+
     /** Bytes were received after a complete response, while no request was waiting. */
     LEFTOVER_BYTES,
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
@@ -129,6 +130,10 @@
         cause: Throwable,
     ) {
         failure = cause.message ?: cause.javaClass.simpleName
+        if (cause is DecoderException) {
+            val doubt = if (exchange == null) ResponseDoubt.LEFTOVER_BYTES else ResponseDoubt.MALFORMED
+            reader.record(doubt, exchange?.request)
+        }
         Logger.debug("event=target_connection_failed address={} reason=\"{}\"", channel.remoteAddress(), failure)
         exchange?.fail(failure.orEmpty(), mayHaveRun = true, disconnected = cause is IOException)
         exchange = null
--- a/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/http/TargetResponseDecoder.kt
@@ -1,15 +1,15 @@
 package bergamotwall.gateway.http
 
+import bergamotwall.drivers.http.StrictResponseDecoder
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
 
-/** Netty's decoder, which also tells whether bytes after a complete response have been received. */
-internal class TargetResponseDecoder : HttpResponseDecoder(CONFIG) {
+/** Decodes responses, and tells whether bytes after a complete response have been received. */
+internal class TargetResponseDecoder : StrictResponseDecoder(CONFIG) {
     /** Whether the responses to the current request have no body, as those to `HEAD`. */
     var bodiless = false
 
