Reject malformed responses to all other calls

What was seen: a malformed response to a call of the key-value service, the platform's APIs, the own interface or a controller was taken for its outcome; a write answered with 000 counted as rejected, an order to scale as refused, although both may have been carried out. Change: MalformedResponseFilter, in front of the client's decoder, passes on only bytes that StrictResponseDecoder accepts. It needs HTTP/1.1: the etcd driver and the command line no longer offer HTTP/2.

--- a/cli/src/main/kotlin/bergamotwall/cli/ControllerClient.kt
+++ b/cli/src/main/kotlin/bergamotwall/cli/ControllerClient.kt
@@ -1,5 +1,6 @@
 package bergamotwall.cli
 
+import bergamotwall.drivers.http.http1ClientFactory
 import bergamotwall.model.Jsons
 import bergamotwall.model.ProblemDocument
 import com.github.michaelbull.result.Err
@@ -63,7 +64,12 @@
         path: String,
         body: String,
     ): AggregatedHttpResponse {
-        val client = WebClient.builder("http://$address").responseTimeout(Duration.ofSeconds(TIMEOUT_SECONDS)).build()
+        val client =
+            WebClient
+                .builder("h1c://$address")
+                .factory(http1ClientFactory)
+                .responseTimeout(Duration.ofSeconds(TIMEOUT_SECONDS))
+                .build()
         return client.execute(HttpRequest.of(method, path, MediaType.JSON, body)).aggregate().join()
     }
 
--- a/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/etcd/EtcdKeyValueStore.kt
@@ -7,6 +7,7 @@
 import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.http.http1ClientFactory
 import bergamotwall.drivers.http.keyValueResponse
 import bergamotwall.model.Jsons
 import com.github.michaelbull.result.Err
@@ -41,12 +42,14 @@
 internal class EtcdKeyValueStore(address: String, timeoutMillis: Long) : KeyValueStore {
     private val client =
         WebClient
-            .builder("http://$address")
+            .builder("h1c://$address")
+            .factory(http1ClientFactory)
             .responseTimeout(Duration.ofMillis(timeoutMillis))
             .build()
     private val watchClient =
         WebClient
-            .builder("http://$address")
+            .builder("h1c://$address")
+            .factory(http1ClientFactory)
             .responseTimeoutMillis(0)
             .maxResponseLength(0)
             .build()
--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/HttpDrivers.kt
@@ -52,6 +52,7 @@
             .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
             .idleTimeout(Duration.ofSeconds(IDLE_TIMEOUT_SECONDS))
             .maxNumRequestsPerConnection(1)
+            .rejectMalformedResponses()
             .build()
     return WebClient
         .builder()
