Refuse requests with a transfer coding that is not decoded

What targets saw: the body of a request with `Transfer-Encoding: gzip, chunked`, or with `gzip` alone, was forwarded without the field that says so. Cause: the HTTP codec drops the field and decodes chunks only, the counterpart of the fault in responses. A line that begins with a blank right after the request line was read as a field by the codec, but not by the gate. Change: both are refused with 400 before the codec sees them, unrun. Other malformed request heads were refused before.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/Refusal.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/Refusal.kt
@@ -8,6 +8,7 @@
     val status: String?,
     val detail: String,
 ) {
+    MALFORMED("400 Bad Request", "the head is malformed"),
     HEAD_TOO_LARGE("431 Request Header Fields Too Large", "the head is too large"),
     HEAD_TOO_SLOW("408 Request Timeout", "the head did not end in time"),
     BODY_TOO_LARGE("413 Content Too Large", "the body is too large"),
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestGate.kt
@@ -130,9 +130,14 @@
 
     private fun passHead(length: Int): Boolean {
         val head = RequestHead.read(pending, length)
-        val tooLarge = (head.contentLength ?: 0) > limits.maxBodyBytes
-        if (tooLarge) output.refuse(Refusal.BODY_TOO_LARGE)
-        if (tooLarge || !hold(IntakeClass.HEADS, REQUEST_BYTES + length + head.lines * LINE_BYTES)) return false
+        val refusal =
+            when {
+                head.malformed -> Refusal.MALFORMED
+                (head.contentLength ?: 0) > limits.maxBodyBytes -> Refusal.BODY_TOO_LARGE
+                else -> null
+            }
+        if (refusal != null) output.refuse(refusal)
+        if (refusal != null || !hold(IntakeClass.HEADS, REQUEST_BYTES + length + head.lines * LINE_BYTES)) return false
         framing = bodyFramingOf(head)
         phase = if (framing == null) Phase.RESPONSE else Phase.BODY
         scanner.reset()
--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestHead.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestHead.kt
@@ -6,19 +6,24 @@
 /**
  * What the head of a request tells about its length, read before the HTTP codec sees it. [contentLength] is null
  * without a body of known length, and [UNCLEAR] if the codec will refuse it. [upgrade] are the ranges of the lines that
- * ask for another protocol.
+ * ask for another protocol. [malformed]: the codec would take a line that begins with a blank for the
+ * first field, or pass on the body without a coding that it has (RFC 9112, sections 2.2 and 6.1).
  */
 internal class RequestHead(
     val lines: Int,
     val contentLength: Long?,
     val chunked: Boolean,
     val upgrade: List<IntRange>,
+    val malformed: Boolean,
 ) {
     companion object {
         /** Neither the length nor the end of the body can be told. */
         const val UNCLEAR = -1L
         private const val MAX_LENGTH_DIGITS = 18
 
+        /** Number of the line that follows the request line. */
+        private const val FIRST_FIELD = 2
+
         /** Reads the head in the first [length] bytes that are readable in [bytes]. */
         fun read(
             bytes: ByteBuf,
@@ -28,15 +33,20 @@
             var contentLength: Long? = null
             var chunked = false
             val upgrade = ArrayList<IntRange>()
+            var malformed = false
             forEachLine(bytes, length) { start, end ->
                 lines++
                 when (NAMES.firstOrNull { startsWith(bytes, start, end, it) }) {
                     CONTENT_LENGTH -> contentLength = lengthOf(valueOf(bytes, start, end))
-                    TRANSFER_ENCODING -> chunked = chunked || "chunked" in valueOf(bytes, start, end).lowercase()
+                    TRANSFER_ENCODING -> {
+                        malformed = malformed || chunked || valueOf(bytes, start, end).lowercase() != CHUNKED
+                        chunked = true
+                    }
                     UPGRADE, HTTP2_SETTINGS -> upgrade += start until end
+                    else -> malformed = malformed || lines == FIRST_FIELD && startsWithBlank(bytes, start)
                 }
             }
-            return RequestHead(lines, contentLength, chunked, upgrade)
+            return RequestHead(lines, contentLength, chunked, upgrade, malformed)
         }
 
         private inline fun forEachLine(
@@ -66,6 +76,11 @@
                 name.indices.all { bytes.getByte(start + it).toInt().toChar().lowercaseChar() == name[it] }
         }
 
+        private fun startsWithBlank(
+            bytes: ByteBuf,
+            start: Int,
+        ): Boolean = bytes.getByte(start).toInt().toChar().let { it == ' ' || it == '\t' }
+
         private fun valueOf(
             bytes: ByteBuf,
             start: Int,
@@ -78,6 +93,7 @@
 
         private const val CONTENT_LENGTH = "content-length"
         private const val TRANSFER_ENCODING = "transfer-encoding"
+        private const val CHUNKED = "chunked"
         private const val UPGRADE = "upgrade"
         private const val HTTP2_SETTINGS = "http2-settings"
         private val NAMES = listOf(CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE, HTTP2_SETTINGS)
