--- a/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestHead.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/intake/RequestHead.kt
@@ -6,8 +6,8 @@
 /**
  * What the head of a request tells about its length, read before the HTTP codec sees it. [contentLength] is null
  * without a body of known length, and [UNCLEAR] if the codec will refuse it. [upgrade] are the ranges of the lines that
- * ask for another protocol. [malformed]: the codec would take a line that begins with a blank for the
- * first field, or pass on the body without a coding that it has (RFC 9112, sections 2.2 and 6.1).
+ * ask for another protocol. [malformed]: the codec would take a line that begins with a blank for the first field, or
+ * pass on the body without a coding that it has (RFC 9112, sections 2.2 and 6.1).
  */
 internal class RequestHead(
     val lines: Int,
