Make the packet target await one packet at a time

Cause: a race of the test, not the product. PacketTarget's own thread had sent the first response, but not yet waited until it was read; the test's thread sent the leftover bytes and took the bytes of the first response for these. So the second request was sent too early, on the old connection; the log of the run has `reason=malformed request=2 sentRequests=2`, a failure as it should be, and no joined response. Change: a connection's packets are written and awaited one after the other. The test checks what it checked.

--- a/drivers/src/main/kotlin/bergamotwall/drivers/http/ResponseSyntax.kt
+++ b/drivers/src/main/kotlin/bergamotwall/drivers/http/ResponseSyntax.kt
@@ -4,8 +4,8 @@
 
 /**
  * Checks the syntax of HTTP/1.1 responses (RFC 9112, sections 4 to 7) in the bytes of a connection: the lines of heads
- * and trailers, and what separates chunks. Where a head ends, and how its body is framed, is told by [headEnded] and
- * [responseEnded]. Not thread-safe.
+ * and trailers, and what separates chunks. The decoder that reads the same bytes reports where a head and a response
+ * end, with [headEnded] and [responseEnded]. Not thread-safe.
  */
 internal class ResponseSyntax {
     private enum class State { STATUS_LINE, FIELDS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/http/PacketTarget.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/http/PacketTarget.kt
@@ -71,13 +71,15 @@
         }
     }
 
+    /** One packet at a time: a later one must not be taken for read when the client has read the one before. */
     private fun send(
         socket: Socket,
         packet: String,
-    ) {
-        socket.getOutputStream().write(packet.toByteArray())
-        ReadCountingChannel.awaitRead(socket.port, socket.localPort, packet.length)
-    }
+    ): Unit =
+        synchronized(socket) {
+            socket.getOutputStream().write(packet.toByteArray())
+            ReadCountingChannel.awaitRead(socket.port, socket.localPort, packet.length)
+        }
 
     /** Reads a request with a body of one byte and returns its id, or null at the end of the connection. */
     private fun readRequest(input: InputStream): String? {
