--- a/review/src-3/Batches.java
+++ b/review/src-3/Batches.java
@@ -66,4 +66,46 @@
     static String event(Http.Request request, int number) {
         return "event " + number + " of " + request.headers.get("bergamotwall-request-id");
     }
+
+    /**
+     * Has submissions of other trainers run, as what a new process does for the first time takes longer. Returns the
+     * process that stores the submissions of the route.
+     */
+    static Fleet.Node warmUp(World world) {
+        for (int i = 0; i < 6; i++) {
+            submit(world, world.fleet.nodes.get(i % 3), "warm" + i, body(0, "warm" + i), 12_000);
+            awaitResults(world, world.fleet.nodes.get(i % 3), "warm" + i, 1, 10_000);
+            end(world, world.fleet.nodes.get(i % 3), "warm" + i);
+        }
+        return ownerOf(world, "warm5");
+    }
+
+    static void end(World world, Fleet.Node node, String id) {
+        Http.Response response = Http.call(node.front(), "DELETE", "/api/lots/" + id, List.of("Host: " + World.HOST),
+                null, 4_000);
+        world.record.line("end of " + id + " at " + node.id + ": " + response);
+        if (response.status != 200) world.end(2, "a submission could not be ended");
+    }
+
+    static int awaitResults(World world, Fleet.Node node, String id, int wanted, long timeoutMillis) {
+        long until = Store.now() + timeoutMillis;
+        int count = 0;
+        while (count < wanted && Store.now() < until) {
+            List<Map<String, Object>> results = read(world, node, id, 0);
+            count = results == null ? 0 : results.size();
+            if (count < wanted) Store.sleep(500);
+        }
+        world.record.line(count + " results of " + id + " at " + node.id);
+        return count;
+    }
+
+    static Fleet.Node ownerOf(World world, String id) {
+        for (String key : world.store.keys("")) {
+            String value = world.store.get(key);
+            if (!key.endsWith("/" + id) || !value.contains("\"owner\"")) continue;
+            String owner = (String) Json.object(value).get("owner");
+            return world.fleet.nodes.stream().filter(node -> node.id.equals(owner)).findFirst().get();
+        }
+        throw new IllegalStateException("no record of " + id);
+    }
 }
--- a/review/src-3/LostWhileStored.java
+++ b/review/src-3/LostWhileStored.java
@@ -25,19 +25,13 @@
         world.configure(3, List.of(World.rolloutRoute("r", "/b/", "llm")), List.of(World.service("llm", true)));
         world.start(3);
 
-        // Other trainers' submissions come first: what a new process does for the first time takes longer.
-        for (int i = 0; i < 6; i++) {
-            Batches.submit(world, world.fleet.nodes.get(i % 3), "warm" + i, Batches.body(0, "warm" + i), 12_000);
-            awaitResults(world, world.fleet.nodes.get(i % 3), "warm" + i, 1, 10_000);
-            end(world, world.fleet.nodes.get(i % 3), "warm" + i);
-        }
-        Fleet.Node first = ownerOf(world, "warm5");
+        Fleet.Node first = Batches.warmUp(world);
 
         // Step 0: the trainer ends it while one of its two groups is not complete.
         Fleet.Node any = world.fleet.nodes.get(0);
         Batches.submit(world, any, "step0", Batches.body(0, "fast", "carried"), 12_000);
-        awaitResults(world, any, "step0", 1, 10_000);
-        end(world, any, "step0");
+        Batches.awaitResults(world, any, "step0", 1, 10_000);
+        Batches.end(world, any, "step0");
         if (!replica.runs.containsKey("carried")) world.end(2, "no item of the incomplete group has begun");
 
         // Step 1: the incomplete group comes again. Of the nodes that the trainer may choose, it chooses the one that
@@ -65,7 +59,7 @@
         if (response.status != 202) world.end(0, "the submission was not accepted");
 
         long acceptedAt = Store.now();
-        int count = awaitResults(world, second, "step1", 3, READ_MILLIS);
+        int count = Batches.awaitResults(world, second, "step1", 3, READ_MILLIS);
         long begun = List.of("new1", "new2", "new3").stream().filter(replica.runs::containsKey).count();
         world.end(count >= 3 ? 0 : 1, count + " of 4 results " + (Store.now() - acceptedAt) + " ms after the 202; "
                 + begun + " of the 3 items that had not begun in step 0 have begun; the replica is idle");
@@ -82,25 +76,6 @@
         }).start();
     }
 
-    private static void end(World world, Fleet.Node node, String id) {
-        Http.Response response = Http.call(node.front(), "DELETE", "/api/lots/" + id, List.of("Host: " + World.HOST),
-                null, 4_000);
-        world.record.line("end of " + id + " at " + node.id + ": " + response);
-        if (response.status != 200) world.end(2, "a submission could not be ended");
-    }
-
-    private static int awaitResults(World world, Fleet.Node node, String id, int wanted, long timeoutMillis) {
-        long until = Store.now() + timeoutMillis;
-        int count = 0;
-        while (count < wanted && Store.now() < until) {
-            List<Map<String, Object>> results = Batches.read(world, node, id, 0);
-            count = results == null ? 0 : results.size();
-            if (count < wanted) Store.sleep(500);
-        }
-        world.record.line(count + " results of " + id + " at " + node.id);
-        return count;
-    }
-
     /** The process that the ownership record in the transaction {@code text} names. */
     private static String ownerIn(String text) {
         for (Object put : (List<?>) Json.object(text).get("puts")) {
@@ -109,14 +84,4 @@
         }
         return "";
     }
-
-    private static Fleet.Node ownerOf(World world, String id) {
-        for (String key : world.store.keys("")) {
-            String value = world.store.get(key);
-            if (!key.endsWith("/" + id) || !value.contains("\"owner\"")) continue;
-            String owner = (String) Json.object(value).get("owner");
-            return world.fleet.nodes.stream().filter(node -> node.id.equals(owner)).findFirst().get();
-        }
-        throw new IllegalStateException("no record of " + id);
-    }
 }
--- a/review/src-3/Replica.java
+++ b/review/src-3/Replica.java
@@ -22,6 +22,7 @@
     private final Work work;
     /** How often each request began to run here, by id. */
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    volatile int capacity = 12;
     private volatile String state = "ready";
     private long sequence;
 
@@ -40,7 +41,7 @@
 
     void register() {
         store.put("servers/" + id, Json.of("service", service, "address", address(), "zone", "zone-a",
-                "version", "v1", "capacity", 12, "state", state, "coldRemainingMs", 0, "phase", "both",
+                "version", "v1", "capacity", capacity, "state", state, "coldRemainingMs", 0, "phase", "both",
                 "models", models, "sequence", sequence, "born", 1_700_000_000_000L));
     }
 
--- a/review/src-3/Store.java
+++ b/review/src-3/Store.java
@@ -16,6 +16,9 @@
 final class Store {
     /** What happens to a call instead of the usual. */
     interface Hook {
+        /** The delay of a call that is never executed. */
+        long NEVER = Long.MAX_VALUE;
+
         /** Returns null for a call that is handled as usual; otherwise the delay of its execution, without a response. */
         Long executeAfterMillis(Http.Request request, String body);
     }
@@ -45,6 +48,9 @@
     private final ServerSocket server;
     volatile Hook hook = (request, body) -> null;
 
+    /** Whether leases pause, as they may while the store is down. */
+    volatile boolean leasesPaused;
+
     Store() throws IOException {
         server = Http.serve("127.0.0.1", this::handle);
         Http.daemon(() -> {
@@ -108,6 +114,7 @@
 
     private synchronized void expire() {
         long now = now();
+        if (leasesPaused) leases.values().forEach(lease -> lease.endsAtMillis = now + lease.ttlMillis);
         List<Long> ended = leases.entrySet().stream().filter(e -> e.getValue().endsAtMillis <= now)
                 .map(Map.Entry::getKey).toList();
         ended.forEach(this::end);
@@ -122,10 +129,12 @@
         String body = request.text();
         Long delayMillis = hook.executeAfterMillis(request, body);
         if (delayMillis != null) {
-            Http.daemon(() -> {
-                sleep(delayMillis);
-                execute(request, body);
-            }).start();
+            if (delayMillis != Hook.NEVER) {
+                Http.daemon(() -> {
+                    sleep(delayMillis);
+                    execute(request, body);
+                }).start();
+            }
             // The channel on which a response is lost returns nothing further.
             while (socket.getInputStream().read() >= 0) continue;
             return false;
