--- a/review/src-3/Batches.java
+++ b/review/src-3/Batches.java
@@ -108,4 +108,13 @@
         }
         throw new IllegalStateException("no record of " + id);
     }
+
+    /** The process that the ownership record in the transaction {@code text} names. */
+    static String ownerIn(String text) {
+        for (Object put : (List<?>) Json.object(text).get("puts")) {
+            String value = new String(Base64.getDecoder().decode((String) ((Map<?, ?>) put).get("value")));
+            if (value.contains("\"owner\"")) return (String) Json.object(value).get("owner");
+        }
+        return "";
+    }
 }
--- a/review/src-3/Json.java
+++ b/review/src-3/Json.java
@@ -58,6 +58,10 @@
             out.append(']');
         } else if (value instanceof String string) {
             out.append('"');
+            if (isPlain(string)) {
+                out.append(string).append('"');
+                return;
+            }
             for (char c : string.toCharArray()) {
                 if (c == '"' || c == '\\') {
                     out.append('\\').append(c);
@@ -73,6 +77,14 @@
         }
     }
 
+    private static boolean isPlain(String string) {
+        for (int i = 0; i < string.length(); i++) {
+            char c = string.charAt(i);
+            if (c == '"' || c == '\\' || c < 0x20) return false;
+        }
+        return true;
+    }
+
     private Object value() {
         blank();
         char c = text.charAt(at);
@@ -120,6 +132,12 @@
     }
 
     private String string() {
+        int end = text.indexOf('"', at + 1);
+        String plain = text.substring(at + 1, end);
+        if (plain.indexOf('\\') < 0) {
+            at = end + 1;
+            return plain;
+        }
         StringBuilder out = new StringBuilder();
         for (at++; text.charAt(at) != '"'; at++) {
             char c = text.charAt(at);
--- a/review/src-3/LostWhileStored.java
+++ b/review/src-3/LostWhileStored.java
@@ -1,6 +1,4 @@
-import java.util.Base64;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
@@ -43,7 +41,7 @@
             world.store.hook = (request, text) -> {
                 if (!request.path().equals("/api/kv-txn") || !text.contains("/step1\"")) return null;
                 if (!late.compareAndSet(false, true)) return null;
-                if (!ownerIn(text).equals(first.id)) world.end(2, "another process stores the submission");
+                if (!Batches.ownerIn(text).equals(first.id)) world.end(2, "another process stores the submission");
                 world.record.line("the store carries out the write of " + first.id + " in " + LATE_MILLIS
                         + " ms, without a response");
                 losePower(world, first);
@@ -75,13 +73,4 @@
             }
         }).start();
     }
-
-    /** The process that the ownership record in the transaction {@code text} names. */
-    private static String ownerIn(String text) {
-        for (Object put : (List<?>) Json.object(text).get("puts")) {
-            String value = new String(Base64.getDecoder().decode((String) ((Map<?, ?>) put).get("value")));
-            if (value.contains("\"owner\"")) return (String) Json.object(value).get("owner");
-        }
-        return "";
-    }
 }
