Review case 11: inside the limits of the site

Cause: the case lost three answers of at most six writes, and stopped one of four machines; both are above the shares that the site has. Change: as many machines and rollout routes as the site has, submissions on the other routes meanwhile, and one lost answer. The script counts the writes and ends with 2 if the share is too large.

--- a/review/src-3/Batches.java
+++ b/review/src-3/Batches.java
@@ -10,7 +10,11 @@
 
     /** An item; its group has the same name. */
     static Map<String, Object> item(String id) {
-        return Json.of("replicaId", id, "path", "/b/" + id,
+        return item("/b/", id);
+    }
+
+    static Map<String, Object> item(String prefix, String id) {
+        return Json.of("replicaId", id, "path", prefix + id,
                 "headers", Json.of("Bergamotwall-Model", World.MODEL, "Bergamotwall-Token-Usage", "16,64"),
                 "body", Base64.getEncoder().encodeToString(("prompt of " + id).getBytes()), "tokens", 80,
                 "group", "group-" + id);
--- a/review/src-3/ThawedWhileStoring.java
+++ b/review/src-3/ThawedWhileStoring.java
@@ -1,23 +1,33 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * The response to the call that stores a submission is lost, and the machine that waits for it stands still for 5 s.
- * Another process takes the submission over meanwhile. The machine that stood still then acts as its owner, too.
+ * Another process takes the submission over meanwhile. The machine that stood still then acts as its owner, too. There
+ * are as many machines and rollout routes as on the site; submissions on the other routes run all the while.
  */
 final class ThawedWhileStoring {
     private static final long FREEZE_MILLIS = 5_000;
+    private static final int DEADLINE_MILLIS = 12_000;
     private static final long CONTACT_MILLIS = 3_000;
     private static final long SETTLE_MILLIS = 1_000;
-    private static final int LOST_RESPONSES = 3;
     private static final int ITEMS = 18;
     private static final int ITEM_BYTES = 834_000;
+    private static final int EDGES = 6;
+    private static final int RUNNERS = 3;
+    private static final int OTHER_ITEMS = 120;
+    private static final String OTHER_MODEL = "pufi20";
+
+    /** How long answers of the store are lost, and the largest share of the writes whose answers are. */
+    private static final long LOSS_MILLIS = 4_500;
+    private static final double LOSS_SHARE = 0.35;
 
     public static void main(String[] args) {
         World.run(args, ThawedWhileStoring::run);
@@ -31,27 +41,42 @@
             replica.models.add(Json.of("name", World.MODEL, "version", 1, "loraAdapters", List.of()));
             replica.register();
         }
-        world.configure(3, List.of(World.rolloutRoute("r", "/b/", "llm")), List.of(World.service("llm", true)));
-        world.start(3);
+        Replica otherReplica = new Replica("i-5", "llm2", world.store, world.record, (self, request, socket) ->
+                Batches.generate(self, request, socket, 4, 150 + random.nextInt(100)));
+        otherReplica.models.add(Json.of("name", OTHER_MODEL, "version", 1, "loraAdapters", List.of()));
+        otherReplica.register();
+        Map<String, Object> otherService = World.service("llm2", true);
+        otherService.put("engine", Json.of("capacity", 12, "kvCapacityTokens", 45_397,
+                "models", List.of(Json.of("name", OTHER_MODEL))));
+        // As many rollout routes as the site has.
+        world.configure(3, List.of(World.rolloutRoute("r", "/b/", "llm"), World.rolloutRoute("r2", "/b2/", "llm2"),
+                World.rolloutRoute("r3", "/b3/", "llm2")), List.of(World.service("llm", true), otherService));
+        world.start(EDGES, RUNNERS);
         Fleet.Node frozen = Batches.warmUp(world);
         Fleet.Node other = world.fleet.nodes.stream().filter(node -> node.edge && node != frozen).findFirst().get();
 
-        AtomicInteger lost = new AtomicInteger();
+        List<Long> writesAt = Collections.synchronizedList(new ArrayList<>());
+        AtomicLong lostAt = new AtomicLong();
         if (world.trouble) {
             world.store.hook = (request, text) -> {
-                boolean creation = request.path().equals("/api/kv-txn") && text.contains("bergamotwall/batches/step0\"");
-                if (!creation || !Batches.ownerIn(text).equals(frozen.id) || lost.incrementAndGet() > LOST_RESPONSES) return null;
-                world.record.line("the response to a call that stores step0 is lost");
-                if (lost.get() == 1) Http.daemon(() -> freeze(world, frozen)).start();
+                if (!request.path().equals("/api/kv-txn")) return null;
+                writesAt.add(Store.now());
+                boolean creation = text.contains("bergamotwall/batches/step0\"");
+                if (!creation || !Batches.ownerIn(text).equals(frozen.id)) return null;
+                if (!lostAt.compareAndSet(0, Store.now())) return null;
+                world.record.line("the response to the call that stores step0 is lost");
+                Http.daemon(() -> freeze(world, frozen)).start();
                 return 0L;
             };
         }
+        // Other trainers' submissions run meanwhile at the processes that own the other routes.
+        submitOthers(world, frozen, other);
         byte[] body = body();
         world.record.line("the submission has " + body.length + " bytes");
-        Http.daemon(() -> Batches.submit(world, frozen, "step0", body, 60_000)).start();
+        Http.daemon(() -> Batches.submit(world, frozen, "step0", body, DEADLINE_MILLIS)).start();
         long until = Store.now() + 15_000;
-        while (world.trouble && lost.get() == 0 && Store.now() < until) Store.sleep(20);
-        if (world.trouble && lost.get() == 0) world.end(2, "the call did not come");
+        while (world.trouble && lostAt.get() == 0 && Store.now() < until) Store.sleep(20);
+        if (world.trouble && lostAt.get() == 0) world.end(2, "the call did not come");
 
         // The trainer reads at another node all the while.
         long thawedAt = Store.now() + (world.trouble ? FREEZE_MILLIS : 0);
@@ -65,6 +90,8 @@
             Store.sleep(500);
         }
 
+        if (world.trouble) checkShare(world, List.copyOf(writesAt), lostAt.get());
+
         // All machines are in touch again: what one of them has listed, each must list. They are asked for 8 s.
         List<Fleet.Node> nodes = world.fleet.nodes.stream().filter(node -> node.edge).toList();
         Map<String, Integer> counts = new TreeMap<>();
@@ -94,6 +121,30 @@
                 + " " + (Store.now() - mostAt) + " ms after it was read: " + behind);
     }
 
+    private static void checkShare(World world, List<Long> writesAt, long lostAt) {
+        long writes = writesAt.stream().filter(at -> at >= lostAt && at < lostAt + LOSS_MILLIS).count();
+        world.record.line("the answer to 1 of " + writes + " writes was lost in the " + LOSS_MILLIS + " ms from it on");
+        if (1 > LOSS_SHARE * writes) world.end(2, "a larger share than on the site");
+    }
+
+    private static void submitOthers(World world, Fleet.Node frozen, Fleet.Node other) {
+        for (String prefix : List.of("/b2/", "/b3/")) {
+            List<Object> items = new ArrayList<>();
+            for (int i = 0; i < OTHER_ITEMS; i++) {
+                Map<String, Object> item = Batches.item(prefix, "other" + prefix.charAt(2) + "-" + i);
+                item.put("headers", Json.of("Bergamotwall-Model", OTHER_MODEL, "Bergamotwall-Token-Usage", "16,64"));
+                items.add(item);
+            }
+            byte[] body = Json.write(Json.of("trainStep", 0, "model", OTHER_MODEL, "minVersion", 1, "desired",
+                    OTHER_ITEMS, "items", items)).getBytes();
+            String id = "other" + prefix.charAt(2);
+            Http.Response response = Http.call(other.front(), "POST", prefix + id,
+                    World.headers(id, "Content-Type: application/json"), body, 12_000);
+            world.record.line("submission " + id + " at " + other.id + ": " + response + ", owner "
+                    + (response.status == 202 ? Batches.ownerOf(world, id).id : "none"));
+        }
+    }
+
     private static void freeze(World world, Fleet.Node node) {
         try {
             Store.sleep(50);
--- a/review/src-3/World.java
+++ b/review/src-3/World.java
@@ -76,9 +76,14 @@
 
     /** Starts processes for {@code edges} entries and one runner, and waits until the entries are ready. */
     void start(int edges) throws Exception {
+        start(edges, 1);
+    }
+
+    /** Starts processes for {@code edges} entries and for runners, and waits until the entries are ready. */
+    void start(int edges, int runners) throws Exception {
         List<Fleet.Node> started = new ArrayList<>();
         for (int i = 1; i <= edges; i++) started.add(fleet.add("edge-zone-a-" + i, true));
-        started.add(fleet.add("storage-zone-a-1", false));
+        for (int i = 1; i <= runners; i++) started.add(fleet.add("storage-zone-a-" + i, false));
         for (Fleet.Node node : started) fleet.start(node);
         for (Fleet.Node node : started) {
             if (node.edge && !fleet.awaitReady(node, 30_000)) end(2, node.id + " did not become ready");
