--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,7 +3,7 @@
 # case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d review/target/classes-3 ] || exit 2
-java -cp review/target/classes-3 EndedBeforeStored review/13
+java -cp review/target/classes-3 LostUnlisted review/13
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
