Search for a batch whose owner was lost before it was stored

Cause: processes search for batches without an owner only after the loss of a member. A write that was carried out late stored a batch after its owner was lost and that search had ended. Whoever found the record afterwards, for a submission or a read, took its owner for running.

Change: each ownership that is read from the key-value service, and that of a batch that existed when it was submitted, is compared with the members. If the owner isn't one a second later either, when news of a new member have come, a search begins; one for each batch, whoever reads it and how often. Times of a search are those before its listing: a write that was not confirmed is looked for until after the window in which it may be carried out.

Ruled out: the second entry's own creation (declined, one call), the first search (it listed the batches before the record existed).

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -66,11 +66,18 @@
                 RewardDispatcher(loopScope, dependencies.shared, caller, settings.rewards, onItemDone)
             },
         )
-    private val remoteBatches = RemoteBatches(dependencies, store, settings.pageChars)
-    private val localSubmissions: LocalSubmissions =
-        LocalSubmissions(loopScope, dependencies, settings, ownedBatches, remoteBatches) {
-            orphanAdopter.watchUnconfirmed(it)
+    private val orphanWatch =
+        object : OrphanWatch {
+            override fun unconfirmed(id: BatchId) = orphanAdopter.unconfirmed(id)
+
+            override fun ownershipRead(
+                id: BatchId,
+                ownership: BatchOwnership,
+            ) = orphanAdopter.ownershipRead(id, ownership)
         }
+    private val remoteBatches = RemoteBatches(dependencies, store, settings.pageChars, orphanWatch)
+    private val localSubmissions: LocalSubmissions =
+        LocalSubmissions(loopScope, dependencies, settings, ownedBatches, remoteBatches, orphanWatch)
     private val submissionRouter = SubmissionRouter(dependencies, settings, ownedBatches, localSubmissions)
 
     /** What would happen to submissions. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -15,8 +15,8 @@
  * Accepts batches at this process: stores them durably and adds them to [ownedBatches].
  *
  * The creation of a batch continues if its caller disconnects, because writes that were sent may take effect anyway.
- * [onUnconfirmed] is called with a batch that may be stored as owned by this process but is not run. Confined to the
- * batch loop, on which [scope] runs.
+ * A batch that is reported as accepted because it existed before may have lost its owner, which [orphanWatch] notices.
+ * Confined to the batch loop, on which [scope] runs.
  */
 internal class LocalSubmissions(
     private val scope: CoroutineScope,
@@ -24,7 +24,7 @@
     private val settings: BatchSettings,
     private val ownedBatches: OwnedBatches,
     private val remoteBatches: RemoteBatches,
-    private val onUnconfirmed: (BatchId) -> Unit,
+    private val orphanWatch: OrphanWatch,
 ) {
     private val creator = BatchCreator(dependencies.store, settings.partChars)
     private val store = BatchStore(dependencies.store)
@@ -125,10 +125,8 @@
                         emptyList(),
                     ).also { it.bodies = text?.let { stored -> store.bodies(record.id, requested.nonce, stored) } },
                 )
-            // An earlier creation by this process may have taken effect although its response was lost.
-            is CreateOutcome.Existed -> if (outcome.record.ownership.owner == self.id) onUnconfirmed(record.id)
-            is CreateOutcome.Unknown -> onUnconfirmed(record.id)
-            is CreateOutcome.NotCreated -> Unit
+            is CreateOutcome.Unknown -> orphanWatch.unconfirmed(record.id)
+            is CreateOutcome.Existed, is CreateOutcome.NotCreated -> Unit
         }
         return outcome
     }
@@ -151,6 +149,7 @@
             is CreateOutcome.Created -> SubmitOutcome.Accepted
             is CreateOutcome.Existed -> {
                 remoteBatches.rememberOwner(record.id, outcome.record.ownership)
+                orphanWatch.ownershipRead(record.id, outcome.record.ownership)
                 outcomeOfExisting(record, outcome.record.ownership)
             }
             is CreateOutcome.NotCreated -> SubmitOutcome.Refused(outcome.detail, RETRY_AFTER_MILLIS)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -2,17 +2,15 @@
 
 import bergamotwall.gateway.members.GatewayMember
 import bergamotwall.gateway.members.assignedOwnerOf
-import bergamotwall.model.Alive
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
-import bergamotwall.model.CheckAlive
 import bergamotwall.model.NodeId
 import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.get
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.Logger
 
@@ -25,18 +23,21 @@
  * later. Confined to the batch loop, on which [scope] runs.
  */
 internal class OrphanAdopter(
-    scope: CoroutineScope,
+    private val scope: CoroutineScope,
     private val dependencies: BatchDependencies,
     private val store: BatchStore,
     private val ownedBatches: OwnedBatches,
     private val localSubmissions: LocalSubmissions,
-) {
+) : OrphanWatch {
     private val adoption = BatchAdoption(dependencies, store, ownedBatches)
     private val searchRequests = Channel<Unit>(Channel.CONFLATED)
-    private val lastKnownAddresses = HashMap<NodeId, String>()
+    private val owners = OwnerLiveness(dependencies)
     private val suspectedSinceMillis = HashMap<BatchId, Long>()
     private val unconfirmedUntilMillis = HashMap<BatchId, Long>()
 
+    /** Batches whose owner was not known to be registered when their ownership was read, until it is checked again. */
+    private val sighted = HashSet<BatchId>()
+
     /** The members at the last change, null before the first one. */
     private var lastMembers: Map<NodeId, GatewayMember>? = null
 
@@ -69,7 +70,7 @@
      */
     fun membersChanged() {
         val members = dependencies.shared.gatewayState.members.read().members
-        members.values.forEach { lastKnownAddresses[it.id] = it.peerAddress }
+        owners.membersChanged(members.values)
         val before = lastMembers
         lastMembers = members
         val lost =
@@ -81,12 +82,32 @@
         if (lost || before == null || startSearch.due) searchRequests.trySend(Unit)
     }
 
+    /** Searches for batch [id] for [LATE_WRITE_WINDOW_MILLIS] or until this process runs it. */
+    override fun unconfirmed(id: BatchId) {
+        unconfirmedUntilMillis[id] = dependencies.shared.clock.monotonicMillis() + LATE_WRITE_WINDOW_MILLIS
+        requestSearch()
+    }
+
     /**
-     * Searches for batch [id] for [LATE_WRITE_WINDOW_MILLIS] or until this process runs it. Its creation was not
-     * confirmed: it may be stored as owned by this process, now or soon, without being run.
+     * Requests a search if batch [id] has no registered owner, nor one that is about to become known. The loss of an
+     * owner that was not registered when the batch was stored causes no search.
      */
-    fun watchUnconfirmed(id: BatchId) {
-        unconfirmedUntilMillis[id] = dependencies.shared.clock.monotonicMillis() + LATE_WRITE_WINDOW_MILLIS
+    override fun ownershipRead(
+        id: BatchId,
+        ownership: BatchOwnership,
+    ) {
+        // Searches go on for the suspects, and can't help the others.
+        val excluded = id in suspectedSinceMillis || id in unroutable || id in unreadable
+        val orphan = lastMembers != null && !excluded && isSuspect(id, ownership)
+        if (!orphan || !sighted.add(id)) return
+        scope.launch {
+            delay(MEMBER_NEWS_MILLIS)
+            sighted -= id
+            if (id !in suspectedSinceMillis && isSuspect(id, ownership)) requestSearch()
+        }
+    }
+
+    private fun requestSearch() {
         startSearch.orphansExpected = true
         searchRequests.trySend(Unit)
     }
@@ -103,21 +124,30 @@
     }
 
     /** Adopts the orphans that are assigned to this process; returns true if another search is needed. */
-    private suspend fun search(): Boolean =
-        !dependencies.self().ready ||
-            !startSearch.leftToOthers &&
-            store.ownerships().fold({
-                startSearch.done = true
-                adoptFrom(it)
-            }) {
-                Logger.warn("event=orphans_not_listed cause=\"{}\"", it.detail)
-                true
-            }
+    private suspend fun search(): Boolean {
+        // A batch may be stored between the listing and its response, so times are those before it.
+        val nowMillis = dependencies.shared.clock.monotonicMillis()
+        return when {
+            !dependencies.self().ready -> true
+            startSearch.leftToOthers -> false
+            else ->
+                store.ownerships().fold({
+                    startSearch.done = true
+                    adoptFrom(it, nowMillis)
+                }) {
+                    Logger.warn("event=orphans_not_listed cause=\"{}\"", it.detail)
+                    true
+                }
+        }
+    }
 
-    private suspend fun adoptFrom(records: Map<BatchId, OwnershipRecord>): Boolean {
+    /** Adopts from [records], which were requested at [nowMillis]. */
+    private suspend fun adoptFrom(
+        records: Map<BatchId, OwnershipRecord>,
+        nowMillis: Long,
+    ): Boolean {
         val excluded = unroutable + unreadable
         val suspects = records.filter { (id, record) -> id !in excluded && isSuspect(id, record.ownership) }
-        val nowMillis = dependencies.shared.clock.monotonicMillis()
         suspectedSinceMillis.keys.retainAll(suspects.keys)
         suspects.keys.forEach { suspectedSinceMillis.putIfAbsent(it, nowMillis) }
         unconfirmedUntilMillis.entries.removeIf { (id, until) -> until <= nowMillis || ownedBatches.find(id) != null }
@@ -156,18 +186,7 @@
         val adoptable =
             overdue ||
                 assignedOwnerOf(dependencies.shared.gatewayState, stored.ownership.route)?.id == dependencies.self().id
-        return adoptable && !ownerResponds(stored.ownership) && adopt(id, stored)
-    }
-
-    /**
-     * A process whose lease expired may still run: it continues its batches while the key-value service refuses its
-     * calls or does not respond.
-     */
-    private suspend fun ownerResponds(ownership: BatchOwnership): Boolean {
-        val address = lastKnownAddresses[ownership.owner]
-        if (address == null || ownership.owner == dependencies.self().id) return false
-        val response = dependencies.peers.sendRequest(address, CheckAlive, ALIVE_TIMEOUT_MILLIS).get()
-        return response == Alive(ownership.incarnation)
+        return adoptable && !owners.responds(stored.ownership) && adopt(id, stored)
     }
 
     private suspend fun adopt(
@@ -184,8 +203,8 @@
         /** Processes that start together register within this time, so that one search covers all of them. */
         private const val COALESCE_MILLIS = 200L
 
-        /** Allows several round trips between data centres. */
-        private const val ALIVE_TIMEOUT_MILLIS = 500L
+        /** News of a new member take less, also in a large fleet. */
+        private const val MEMBER_NEWS_MILLIS = 1_000L
 
         /** A write whose response was lost may take effect seconds later. */
         private const val LATE_WRITE_WINDOW_MILLIS = 10_000L
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -18,11 +18,15 @@
 import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
 
-/** Accesses batches of other processes, through their owner or directly in the key-value service. */
+/**
+ * Accesses batches of other processes, through their owner or directly in the key-value service. [orphanWatch] gets
+ * each ownership that is read there.
+ */
 internal class RemoteBatches(
     private val dependencies: BatchDependencies,
     private val store: BatchStore,
     private val pageBytes: Int,
+    private val orphanWatch: OrphanWatch,
 ) {
     private val owners = ConcurrentHashMap<BatchId, BatchOwnership>()
 
@@ -42,7 +46,7 @@
         message: PeerMessage,
         timeoutMillis: Long,
     ): PeerMessage? {
-        val known = owners[batch] ?: lookUpOwner(batch)
+        val known = ownership(batch).get()
         val member = known?.let { dependencies.shared.gatewayState.members.read().find(it.owner, it.incarnation) }
         val other = member?.takeUnless { it.id == dependencies.self().id }
         val response = other?.let { dependencies.peers.sendRequest(it.peerAddress, message, timeoutMillis).get() }
@@ -53,10 +57,10 @@
     /** Ownership of [batch] as last known, null if the batch does not exist. */
     suspend fun ownership(batch: BatchId): Result<BatchOwnership?, KeyValueError> =
         owners[batch]?.let { Ok(it) }
-            ?: store.ownership(batch).map { stored -> stored?.ownership?.also { owners[batch] = it } }
+            ?: readOwnership(batch).map { stored -> stored?.ownership?.also { owners[batch] = it } }
 
-    private suspend fun lookUpOwner(batch: BatchId): BatchOwnership? =
-        store.ownership(batch).get()?.ownership?.also { owners[batch] = it }
+    private suspend fun readOwnership(batch: BatchId): Result<OwnershipRecord?, KeyValueError> =
+        store.ownership(batch).onSuccess { stored -> stored?.let { orphanWatch.ownershipRead(batch, it.ownership) } }
 
     /** Reads the results of [batch] from the key-value service. */
     suspend fun read(
@@ -101,8 +105,7 @@
         batch: BatchId,
         read: suspend (OwnershipRecord) -> Result<ReadOutcome, KeyValueError>,
     ): ReadOutcome =
-        store
-            .ownership(batch)
+        readOwnership(batch)
             .andThen { stored -> if (stored == null) Ok(ReadOutcome.Absent) else read(stored) }
             .fold({ it }, { ReadOutcome.Unavailable(it.detail) })
 
@@ -113,7 +116,7 @@
     ): EndOutcome {
         var outcome: EndOutcome = EndOutcome.Unavailable("the key-value service did not respond in time")
         while (outcome is EndOutcome.Unavailable && retries.awaitNext()) {
-            store.ownership(batch).onSuccess { stored ->
+            readOwnership(batch).onSuccess { stored ->
                 when {
                     stored == null -> outcome = EndOutcome.Absent
                     stored.ownership.ended -> outcome = EndOutcome.Ended
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -22,6 +22,7 @@
 import bergamotwall.gateway.routes.RouteKind
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.routes.ServiceShare
+import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.gateway.targets.ResponseMetadata
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
@@ -84,6 +85,9 @@
     /** Number of listings. */
     var lists = 0
 
+    /** Number of listings of all batches. */
+    var searches = 0
+
     /** Number of reads of single keys. */
     var reads = 0
 
@@ -112,6 +116,7 @@
         object : KeyValueStore by memoryStore {
             override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
                 lists++
+                if (prefix == GatewayKeys.BATCHES) searches++
                 // Lets other coroutines run during the call, as a network call does.
                 yield()
                 return if (listsFail) unavailable else memoryStore.list(prefix)
