Registration: conditional writes under one lease, and a look at the members

Cause: a registration was written without a condition, and each attempt had a lease of its own. An attempt that got no response and was carried out late replaced the later one, and its lease, which nobody renewed, ended the registration. The process went on renewing the other lease, ready and unregistered.

Change: each write is conditional on the revision that the key had before; a declined write returns the current one and is repeated at once. One lease is used until the service says that it has ended. If the watched members, read after the last confirmed write, lack this process, it writes again: processes of older builds still write without a condition. The in-memory key-value service of the tests declines writes under a lease that has ended, as the services do.

Calls: one write for a registration, as before; two if an earlier incarnation is still registered. A failed attempt is repeated without a new lease.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -210,6 +210,18 @@
     /** Forwards callers' requests. */
     public val forwarder: Forwarder = Forwarder(targetDependencies, crashes, settings.forward, streamOrigins)
 
+    private val registration =
+        Registration(
+            store,
+            drivers.clock,
+            settings.leaseTtlSeconds,
+            isMissing = { sinceMillis ->
+                watches.knowsMembersSince(sinceMillis) &&
+                    gatewayState.members.read().find(settings.id, incarnation) == null
+            },
+            self = ::self,
+        )
+
     /** Accepts and runs batches. */
     public val batches: Batches =
         Batches(
@@ -253,7 +265,6 @@
                 targetsConfirmation = { watches.targetsConfirmation },
             ),
         )
-    private val registration = Registration(store, drivers.clock, settings.leaseTtlSeconds, ::self)
     private val sharedWatches =
         SharedWatches(
             SharedWatchDependencies(
--- a/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/StoreWatches.kt
@@ -84,6 +84,10 @@
     /** The latest proof that the list of targets is current; null before the first listing. */
     val targetsConfirmation: WatchConfirmation? get() = targetWatcher.confirmation
 
+    /** Whether the members were known to be current after [sinceMillis] on the monotonic clock. */
+    fun knowsMembersSince(sinceMillis: Long): Boolean =
+        memberWatcher.appliedConfirmation?.let { it.atMillis > sinceMillis } ?: false
+
     private val weightLeadership =
         LeadershipVacancy(
             LeadershipKeys(GatewayKeys.WEIGHT_LEADER, GatewayKeys.LAST_WEIGHT_LEADER),
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
@@ -1,9 +1,11 @@
 package bergamotwall.gateway.members
 
+import bergamotwall.drivers.Condition
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
+import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.model.Jsons
@@ -11,7 +13,6 @@
 import bergamotwall.runtime.launchSupervised
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -19,41 +20,55 @@
 import org.tinylog.Logger
 
 /**
- * Registers this process in the key-value service under a lease and renews the lease. Registers again if it expired.
+ * Registers this process in the key-value service under a lease and renews the lease. Registers again if the lease has
+ * expired or the registration is gone.
+ *
+ * A write that received no response may take effect later. Each write is therefore conditional on the revision that the
+ * key had before it, so that it can't replace a later one, and all writes use the same lease until that has ended, so
+ * that the registration never depends on a lease that is not renewed.
+ *
+ * [isMissing] tells whether the registered processes were read after a moment on the monotonic clock, and this one is
+ * not among them.
  */
 public class Registration(
     private val store: KeyValueStore,
     private val clock: Clock,
     private val ttlSeconds: Long,
+    private val isMissing: (Long) -> Boolean = { false },
     private val self: () -> GatewayMember,
 ) {
+    private class Confirmed(val member: GatewayMember, val revision: Long, val atMillis: Long)
+
+    private val key by lazy { GatewayKeys.member(self().id) }
     private var lease: LeaseId? = null
 
+    /** Revision of the key when it was last seen, 0 if it did not exist. */
+    private var seenRevision = 0L
+
+    /** The last write, null if it is not known to be in the service. */
     @Volatile
-    private var registered: GatewayMember? = null
+    private var confirmed: Confirmed? = null
     private val changes = Channel<Unit>(Channel.CONFLATED)
 
     @Volatile
     private var ended = false
 
-    /** When the last request that the service confirmed was sent, on the monotonic clock. */
-    @Volatile
-    public var confirmedAtMillis: Long = Long.MIN_VALUE
-        private set
+    private val missing: Boolean get() = confirmed?.let { isMissing(it.atMillis) } ?: false
 
     /** Starts to register and to renew the registration in [scope]. */
     public fun start(scope: CoroutineScope): Job =
         scope.launchSupervised("registration") {
             while (!ended) {
                 step()
-                val pauseMillis = if (lease == null) RETRY_MILLIS else ttlSeconds * MILLIS_PER_SECOND / RENEWALS_PER_TTL
+                val pauseMillis =
+                    if (confirmed == null) RETRY_MILLIS else ttlSeconds * MILLIS_PER_SECOND / RENEWALS_PER_TTL
                 withTimeoutOrNull(pauseMillis) { changes.receive() }
             }
         }
 
-    /** Notifies that the value returned by [self] may have changed. If it has, the registration is written at once. */
+    /** Notifies that the value returned by [self], or the registered processes, may have changed. */
     public fun changed() {
-        if (self() != registered) changes.trySend(Unit)
+        if (self() != confirmed?.member || missing) changes.trySend(Unit)
     }
 
     /** Removes the registration permanently, so that other processes notice immediately. */
@@ -64,18 +79,27 @@
         store.revoke(currentLease)
     }
 
-    /** Renews the lease, and writes the registration if it has changed. */
+    /** Renews the lease, and writes the registration if it has changed or is gone. */
     public suspend fun step() {
-        val currentLease = lease ?: return register()
-        val requestedAtMillis = clock.monotonicMillis()
-        store.keepAlive(currentLease).fold(
-            success = { confirmedAtMillis = requestedAtMillis },
+        val current = lease
+        if (current != null) renew(current)
+        if (missing) confirmed = null
+        val renewed = lease
+        when {
+            ended -> Unit
+            renewed == null -> register()
+            confirmed?.member != self() -> write(renewed)
+        }
+    }
+
+    private suspend fun renew(current: LeaseId) {
+        store.keepAlive(current).fold(
+            success = { },
             failure = { error ->
                 Logger.warn("event=registration_not_renewed cause=\"{}\"", error.detail)
-                if (error is KeyValueError.LeaseExpired) lease = null
+                if (error is KeyValueError.LeaseExpired) leaseEnded()
             },
         )
-        if (lease != null && registered != self()) write(currentLease)
     }
 
     private suspend fun register() {
@@ -84,22 +108,50 @@
                 Logger.warn("event=registration_failed cause=\"{}\"", it.detail)
                 return
             }
-        if (write(granted)) lease = granted
+        lease = granted
+        write(granted)
         // end() was called while the registration was being written.
         if (ended) end()
     }
 
-    private suspend fun write(leaseId: LeaseId): Boolean {
+    private suspend fun write(currentLease: LeaseId) {
+        // Another write was carried out late, or an earlier incarnation is still registered.
+        if (!writeOnce(currentLease)) writeOnce(currentLease)
+    }
+
+    /** Returns false if the key had changed, so that the write can be repeated at once. */
+    private suspend fun writeOnce(currentLease: LeaseId): Boolean {
         val member = self()
+        confirmed = null
         val value = Jsons.wire.encodeToString(GatewayMember.serializer(), member)
-        val requestedAtMillis = clock.monotonicMillis()
-        val put = Write.Put(GatewayKeys.member(member.id), value, leaseId)
-        return store.commit(Transaction(emptyList(), listOf(put)))
-            .onSuccess {
-                registered = member
-                confirmedAtMillis = requestedAtMillis
-                Logger.info("event=registered ready={} incarnation={}", member.ready, member.incarnation)
-            }.isOk
+        val expected = Condition.Unchanged(key, seenRevision)
+        val transaction = Transaction(listOf(expected), listOf(Write.Put(key, value, currentLease)), listOf(key))
+        return store.commit(transaction).fold(
+            success = { outcome ->
+                when (outcome) {
+                    is TransactionOutcome.Committed -> {
+                        seenRevision = outcome.revision
+                        confirmed = Confirmed(member, outcome.revision, clock.monotonicMillis())
+                        Logger.info("event=registered ready={} incarnation={}", member.ready, member.incarnation)
+                    }
+                    is TransactionOutcome.Declined ->
+                        seenRevision = outcome.read.firstOrNull { it.key == key }?.modRevision ?: 0
+                }
+                outcome is TransactionOutcome.Committed
+            },
+            failure = { error ->
+                Logger.warn("event=registration_failed cause=\"{}\"", error.detail)
+                if (error is KeyValueError.LeaseExpired) leaseEnded()
+                true
+            },
+        )
+    }
+
+    /** The key is removed with the lease. */
+    private fun leaseEnded() {
+        lease = null
+        confirmed = null
+        seenRevision = 0
     }
 
     private companion object {
--- a/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/KeyValueState.kt
@@ -50,8 +50,14 @@
         return leases.keepAlive(lease)
     }
 
+    /** Whether [lease] has neither expired nor been revoked. */
+    fun hasLease(lease: Long): Boolean {
+        leases.expired().forEach { revoke(it) }
+        return lease in leases
+    }
+
     fun revoke(lease: Long) {
-        if (leases.revoke(lease)) deleteKeysOf(lease)
+        if (leases.revoke(lease) && entries.values.removeIf { it.lease == lease.toString() }) revision++
     }
 
     /** Puts from [fromRevision] on to the keys from [key] to [end], exclusive. Deletions are not recorded. */
@@ -80,10 +86,6 @@
         val actual = if (compare.target == "MOD") entry?.modRevision else entry?.createRevision
         return (actual ?: "0") == expected
     }
-
-    private fun deleteKeysOf(lease: Long) {
-        if (entries.values.removeIf { it.lease == lease.toString() }) revision++
-    }
 }
 
 /** Compares decoded keys, as the order of base64 texts differs from that of their bytes. */
--- a/standins/src/main/kotlin/bergamotwall/standins/LeaseTable.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/LeaseTable.kt
@@ -20,6 +20,8 @@
         return renewed.ttlMillis / MILLIS_PER_SECOND
     }
 
+    operator fun contains(lease: Long): Boolean = lease in leases
+
     fun revoke(lease: Long): Boolean = leases.remove(lease) != null
 
     fun expired(): List<Long> = leases.filterValues { it.expiresAtMillis <= nowMillis() }.keys.toList()
--- a/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryKeyValueStore.kt
+++ b/standins/src/main/kotlin/bergamotwall/standins/fakes/MemoryKeyValueStore.kt
@@ -7,6 +7,7 @@
 import bergamotwall.drivers.LeaseId
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
+import bergamotwall.drivers.Write
 import bergamotwall.drivers.etcd.RangeRequest
 import bergamotwall.drivers.etcd.base64Of
 import bergamotwall.drivers.etcd.entryOf
@@ -67,7 +68,14 @@
         val concurrentWrite = beforeCommit
         beforeCommit = null
         concurrentWrite?.invoke()
-        return write { outcomeOf(state.txn(txnOf(transaction))) }
+        return write {
+            val leases = transaction.writes.filterIsInstance<Write.Put>().mapNotNull { it.lease }
+            if (leases.all { state.hasLease(it.value) }) {
+                Ok(outcomeOf(state.txn(txnOf(transaction))))
+            } else {
+                Err(KeyValueError.LeaseExpired("lease not found"))
+            }
+        }
     }
 
     override suspend fun grantLease(ttlSeconds: Long): Result<LeaseId, KeyValueError> =
@@ -92,9 +100,9 @@
     private suspend fun <T> read(block: () -> T): Result<T, KeyValueError> =
         if (down) Err(unreachable) else Ok(mutex.withLock { block() })
 
-    private suspend fun <T> write(block: () -> T): Result<T, KeyValueError> =
+    private suspend fun <T> write(block: () -> Result<T, KeyValueError>): Result<T, KeyValueError> =
         when (if (down) CallFault.UNREACHABLE else writeFaults.removeFirstOrNull() ?: CallFault.NONE) {
-            CallFault.NONE -> Ok(mutex.withLock { block() })
+            CallFault.NONE -> mutex.withLock { block() }
             CallFault.UNREACHABLE -> Err(unreachable)
             CallFault.LOST_RESPONSE -> {
                 mutex.withLock { block() }
