Fence creations and adoptions of batches by the registration of the process

Cases: a creation or an adoption that is carried out late, and a process that accepts or adopts batches before it is registered or after its registration has ended.

Change: both writes are conditional on the revision of the process's own registration as ready, in the same transaction. A process that is not registered refuses or adopts later. A declined creation returns the record, if there is one, which saves the read that followed; if there is none, no earlier attempt can create the batch any more, and the refusal is true. An adoption without a response is watched like a creation: the search may end before it is carried out.

Calls: none more, one less for each submission of a batch that exists.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/Gateway.kt
@@ -225,7 +225,7 @@
     /** Accepts and runs batches. */
     public val batches: Batches =
         Batches(
-            BatchDependencies(::self, store, drivers.peers, targetDependencies, forwarder),
+            BatchDependencies(::self, store, registration, drivers.peers, targetDependencies, forwarder),
             settings.batches,
             scope,
             eventLoop,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAdoption.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchAdoption.kt
@@ -24,19 +24,34 @@
         stored: OwnershipRecord,
     ): AdoptionOutcome =
         store.load(id, stored.ownership).fold(
-            success = { claim(id, stored)?.let { run(id, stored, it) } ?: AdoptionOutcome.LATER },
+            success = { claim(id, stored) },
             failure = { if (it is KeyValueError.Rejected) AdoptionOutcome.UNREADABLE else AdoptionOutcome.LATER },
         )
 
+    /** Claims the batch as long as this process is registered, and runs it. */
     private suspend fun claim(
         id: BatchId,
         stored: OwnershipRecord,
-    ): KnownOwnership? {
+    ): AdoptionOutcome {
+        val registered = dependencies.registration.condition ?: return AdoptionOutcome.LATER
         val self = dependencies.self()
         val claimed = stored.ownership.copy(owner = self.id, incarnation = self.incarnation)
         val sentAt = dependencies.shared.clock.read()
-        val outcome = store.replace(id, stored, claimed).get() as? TransactionOutcome.Committed
-        return outcome?.let { ownedBatches.known(stored.copy(ownership = claimed, revision = it.revision), sentAt) }
+        return store.replace(id, stored, claimed, registered).fold(
+            success = { outcome ->
+                when (outcome) {
+                    is TransactionOutcome.Committed -> {
+                        val record = stored.copy(ownership = claimed, revision = outcome.revision)
+                        run(id, stored, ownedBatches.known(record, sentAt))
+                    }
+                    is TransactionOutcome.Declined -> {
+                        dependencies.registration.declined(registered, outcome.read)
+                        AdoptionOutcome.LATER
+                    }
+                }
+            },
+            failure = { if (mayHaveApplied(it)) AdoptionOutcome.UNCONFIRMED else AdoptionOutcome.LATER },
+        )
     }
 
     /**
@@ -90,6 +105,9 @@
     /** The batch can't be decoded. */
     UNREADABLE,
 
-    /** Another process was first, or the key-value service did not respond. */
+    /** Another process was first, this one is not registered, or the key-value service did not respond. */
     LATER,
+
+    /** This process may have become the owner, or may still do so. */
+    UNCONFIRMED,
 }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
@@ -6,18 +6,25 @@
 import bergamotwall.drivers.Transaction
 import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.drivers.Write
+import bergamotwall.gateway.members.RegistrationFence
 import bergamotwall.gateway.store.GatewayKeys
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.BatchRecord
 import bergamotwall.model.Jsons
-import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 
 /**
  * Writes new batches to the key-value service. The items of a batch are split into chunks of [chunkChars] characters,
- * because the service limits the size of a value.
+ * because the service limits the size of a value. A batch comes to exist only while this process is registered, see
+ * [fence].
  */
-internal class BatchCreator(private val store: KeyValueStore, private val chunkChars: Int) {
+internal class BatchCreator(
+    private val store: KeyValueStore,
+    private val fence: RegistrationFence,
+    private val chunkChars: Int,
+) {
     /** Writes the items of [record] and then [ownership], see the other function. */
     suspend fun create(
         record: BatchRecord,
@@ -54,8 +61,7 @@
         val requested = ownership.copy(parts = parts)
         val key = GatewayKeys.batch(id)
         val ownershipPut = Write.Put(key, Jsons.wire.encodeToString(BatchOwnership.serializer(), requested))
-        val transaction = Transaction(listOf(Condition.Absent(key)), puts + ownershipPut)
-        return commitOwnership(key, transaction, requested, retries)
+        return commitOwnership(key, puts + ownershipPut, requested, retries)
     }
 
     /** Writes the first [count] of [puts] and removes them from the list. */
@@ -83,42 +89,46 @@
 
     private suspend fun commitOwnership(
         key: String,
-        transaction: Transaction,
+        puts: List<Write.Put>,
         requested: BatchOwnership,
         retries: RetrySchedule,
     ): CreateOutcome {
         var mayHaveApplied = false
         retries.reset()
         while (retries.awaitNext()) {
-            val outcome = store.commit(transaction)
-            mayHaveApplied = mayHaveApplied || outcome.fold({ false }, ::mayHaveApplied)
-            val resolved = outcome.fold({ resolveCommit(key, it, requested) }, { null })
-            if (resolved != null) return resolved
+            val registered = fence.condition ?: continue
+            val conditions = listOf(Condition.Absent(key), registered)
+            val response = store.commit(Transaction(conditions, puts, orElseRead = conditions.map { it.key }))
+            response.get()?.let { resolveCommit(key, it, requested) }?.let { return it }
+            val declined = response.get() as? TransactionOutcome.Declined
+            if (declined == null) {
+                mayHaveApplied = mayHaveApplied || response.getError()?.let(::mayHaveApplied) ?: false
+            } else {
+                // No earlier attempt can still create the batch either, as each was made on a registration that ended.
+                mayHaveApplied = false
+                fence.declined(registered, declined.read)
+            }
         }
-        val detail = "the key-value service did not respond in time"
+        val detail = "the key-value service did not respond in time, or this process is not registered"
         return if (mayHaveApplied) CreateOutcome.Unknown(detail) else CreateOutcome.NotCreated(detail)
     }
 
     /**
-     * Returns null if the outcome is not known yet. A transaction is also declined if an earlier attempt of this call
-     * was applied but its response was lost; the stored record then has the nonce of [requested].
+     * Returns null if the batch does not exist. A transaction is also declined if an earlier attempt of this call was
+     * applied but its response was lost; the stored record then has the nonce of [requested].
      */
-    private suspend fun resolveCommit(
+    private fun resolveCommit(
         key: String,
         outcome: TransactionOutcome,
         requested: BatchOwnership,
     ): CreateOutcome? =
         when (outcome) {
             is TransactionOutcome.Committed -> CreateOutcome.Created(OwnershipRecord(requested, outcome.revision))
-            is TransactionOutcome.Declined ->
-                store.get(key).fold(
-                    success = { entry ->
-                        val stored = entry?.let { ownershipRecordOf(it) }
-                        val ours = stored?.ownership?.nonce == requested.nonce
-                        stored?.let { if (ours) CreateOutcome.Created(it) else CreateOutcome.Existed(it) }
-                    },
-                    failure = { null },
-                )
+            is TransactionOutcome.Declined -> {
+                val stored = outcome.read.firstOrNull { it.key == key }?.let { ownershipRecordOf(it) }
+                val ours = stored?.ownership?.nonce == requested.nonce
+                stored?.let { if (ours) CreateOutcome.Created(it) else CreateOutcome.Existed(it) }
+            }
         }
 
     private companion object {
@@ -127,7 +137,8 @@
     }
 }
 
-private fun mayHaveApplied(error: KeyValueError): Boolean =
+/** Whether a write that failed with [error] may have taken effect, or may still do so. */
+internal fun mayHaveApplied(error: KeyValueError): Boolean =
     when (error) {
         is KeyValueError.Unavailable -> error.mayHaveApplied
         is KeyValueError.Rejected, is KeyValueError.LeaseExpired, is KeyValueError.HistoryCompacted -> false
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchStore.kt
@@ -56,18 +56,20 @@
         }
 
     /**
-     * Replaces the ownership of [batch] in [stored] by [next] if the record is unchanged. Fields of the record that
-     * another build has added stay as they are.
+     * Replaces the ownership of [batch] in [stored] by [next] if the record is unchanged and [registered], if given,
+     * holds. Fields of the record that another build has added stay as they are.
      */
     suspend fun replace(
         batch: BatchId,
         stored: OwnershipRecord,
         next: BatchOwnership,
+        registered: Condition.Unchanged? = null,
     ): Result<TransactionOutcome, KeyValueError> {
         val key = GatewayKeys.batch(batch)
         val known = Jsons.wire.encodeToJsonElement(BatchOwnership.serializer(), next).jsonObject
         val put = Write.Put(key, JsonObject(stored.addedFields + known).toString())
-        return store.commit(Transaction(listOf(Condition.Unchanged(key, stored.revision)), listOf(put)))
+        val conditions = listOfNotNull(Condition.Unchanged(key, stored.revision), registered)
+        return store.commit(Transaction(conditions, listOf(put), orElseRead = conditions.map { it.key }))
     }
 
     /** Appends the chunks of [append] in one call if the ownership record still has [revision]. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -4,6 +4,7 @@
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.gateway.forwarding.RequestForwarder
 import bergamotwall.gateway.members.GatewayMember
+import bergamotwall.gateway.members.RegistrationFence
 import bergamotwall.gateway.rewards.RewardCaller
 import bergamotwall.gateway.rewards.RewardDispatcher
 import bergamotwall.gateway.routes.Route
@@ -28,11 +29,12 @@
 
 /**
  * Dependencies of [Batches]; [shared] holds those that it has in common with other code that sends to targets.
- * [forwarder] sends reward calls.
+ * [registration] fences the writes that make this process the owner of a batch. [forwarder] sends reward calls.
  */
 public data class BatchDependencies(
     public val self: () -> GatewayMember,
     public val store: KeyValueStore,
+    public val registration: RegistrationFence,
     public val peers: PeerClient,
     public val shared: TargetDependencies,
     public val forwarder: RequestForwarder,
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -26,7 +26,7 @@
     private val remoteBatches: RemoteBatches,
     private val orphanWatch: OrphanWatch,
 ) {
-    private val creator = BatchCreator(dependencies.store, settings.partChars)
+    private val creator = BatchCreator(dependencies.store, dependencies.registration, settings.partChars)
     private val store = BatchStore(dependencies.store)
     private val inProgress = MutableStateFlow(emptyList<BatchId>())
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OrphanAdopter.kt
@@ -196,6 +196,7 @@
         val outcome = adoption.adopt(id, stored)
         if (outcome == AdoptionOutcome.UNROUTABLE) unroutable += id
         if (outcome == AdoptionOutcome.UNREADABLE) unreadable += id
+        if (outcome == AdoptionOutcome.UNCONFIRMED) unconfirmed(id)
         return outcome == AdoptionOutcome.ADOPTED
     }
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/members/Registration.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.members
 
 import bergamotwall.drivers.Condition
+import bergamotwall.drivers.KeyValueEntry
 import bergamotwall.drivers.KeyValueError
 import bergamotwall.drivers.KeyValueStore
 import bergamotwall.drivers.LeaseId
@@ -36,7 +37,7 @@
     private val ttlSeconds: Long,
     private val isMissing: (Long) -> Boolean = { false },
     private val self: () -> GatewayMember,
-) {
+) : RegistrationFence {
     private class Confirmed(val member: GatewayMember, val revision: Long, val atMillis: Long)
 
     private val key by lazy { GatewayKeys.member(self().id) }
@@ -55,6 +56,9 @@
 
     private val missing: Boolean get() = confirmed?.let { isMissing(it.atMillis) } ?: false
 
+    override val condition: Condition.Unchanged?
+        get() = confirmed?.takeIf { it.member.ready && !ended }?.let { Condition.Unchanged(key, it.revision) }
+
     /** Starts to register and to renew the registration in [scope]. */
     public fun start(scope: CoroutineScope): Job =
         scope.launchSupervised("registration") {
@@ -71,6 +75,16 @@
         if (self() != confirmed?.member || missing) changes.trySend(Unit)
     }
 
+    override fun declined(
+        condition: Condition.Unchanged,
+        read: List<KeyValueEntry>,
+    ) {
+        if (read.any { it.key == condition.key && it.modRevision == condition.modRevision }) return
+        // The registration may have been written again since.
+        if (confirmed?.revision == condition.modRevision) confirmed = null
+        changes.trySend(Unit)
+    }
+
     /** Removes the registration permanently, so that other processes notice immediately. */
     public suspend fun end() {
         ended = true
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -23,6 +23,7 @@
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.routes.ServiceShare
 import bergamotwall.gateway.store.GatewayKeys
+import bergamotwall.gateway.store.LateStore
 import bergamotwall.gateway.targets.ResponseMetadata
 import bergamotwall.gateway.targets.Target
 import bergamotwall.gateway.targets.TargetCall
@@ -49,6 +50,7 @@
 import bergamotwall.standins.fakes.MemoryPeers
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.StandardTestDispatcher
@@ -100,6 +102,12 @@
     /** Whether writes are applied but their responses are lost. */
     var responsesLost = false
 
+    /** After how many milliseconds writes are carried out, without a response; null if they are not late. */
+    var lateMillis: Long? = null
+
+    /** Runs when a write has taken effect and its response is on its way. */
+    var onCommitted: suspend () -> Unit = { }
+
     /** Whether reads of single keys fail. */
     var readsFail = false
 
@@ -112,6 +120,9 @@
     /** Duration of a read of a single key, in milliseconds. */
     var readMillis = 0L
 
+    /** The registration of the process under test. */
+    val registration = FixedRegistration(memoryStore)
+
     private val store =
         object : KeyValueStore by memoryStore {
             override suspend fun list(prefix: String): Result<KeyValueListing, KeyValueError> {
@@ -128,18 +139,28 @@
                 return if (readsFail) unavailable else memoryStore.get(key)
             }
 
-            override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> =
-                if (writesFail) {
+            override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> {
+                return if (writesFail) {
                     unavailable
                 } else if (isTooLarge(transaction)) {
                     Err(KeyValueError.Rejected("a value is too large"))
+                } else if (lateMillis != null) {
+                    commitLate(transaction)
                 } else {
                     val outcome = memoryStore.commit(transaction)
+                    onCommitted()
                     delay(writeMillis)
                     if (responsesLost) responseLost else outcome
                 }
+            }
         }
 
+    private suspend fun commitLate(transaction: Transaction): Result<TransactionOutcome, KeyValueError> {
+        val late = LateStore(memoryStore, scope)
+        late.lateMillis = { lateMillis }
+        return late.commit(transaction)
+    }
+
     private fun isTooLarge(transaction: Transaction): Boolean =
         transaction.writes.filterIsInstance<Write.Put>().any { it.value.toByteArray().size > maxValueBytes }
 
@@ -196,8 +217,11 @@
     /** Route of all reward calls. */
     val rewardRoute = route.copy(name = "score", pathPrefix = "/score/", kind = RouteKind.IDEMPOTENT, batch = null)
 
+    private lateinit var scope: CoroutineScope
+
     /** Creates the object under test in the background of [scope], with [route] and only [self] as member. */
     fun batches(scope: TestScope): Batches {
+        this.scope = scope.backgroundScope
         gatewayState.routes.update { RouteTable(ConfigurationRevision(1), listOf(route, rewardRoute)) }
         gatewayState.members.update { MemberList(mapOf(self.id to self)) }
         val loads = TargetLoads()
@@ -219,6 +243,7 @@
             BatchDependencies(
                 self = { self },
                 store = store,
+                registration = registration,
                 peers = peers,
                 shared = shared,
                 forwarder = { request, route -> forward(request, route) },
@@ -259,7 +284,8 @@
     ) {
         val ownership = BatchOwnership(NodeId(owner), incarnation, "n", 0, 1, 0, route.name, ended)
         val retries = RetrySchedule(clock, Random(1), Long.MAX_VALUE)
-        BatchCreator(memoryStore, 1_000).create(record(id, 1), ownership, retries)
+        val creator = BatchCreator(memoryStore, FixedRegistration(memoryStore, "creator"), 1_000)
+        creator.create(record(id, 1), ownership, retries)
     }
 
     /** Whether the items of batches have reward calls. */
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchStoreTest.kt
@@ -28,7 +28,7 @@
     private val clock = ManualClock()
     private val store = MemoryKeyValueStore(clock)
     private val batches = BatchStore(store)
-    private val creator = BatchCreator(store, chunkChars = 10_000)
+    private val creator = BatchCreator(store, FixedRegistration(store), chunkChars = 10_000)
     private val id = BatchId("b")
 
     @ParameterizedTest(name = "fault {0}: {1}, exists {2}")
@@ -61,7 +61,7 @@
     @Test
     fun `a batch of many chunks is stored completely although writes fail`() =
         runTest {
-            val chunkedCreator = BatchCreator(store, chunkChars = 100)
+            val chunkedCreator = BatchCreator(store, FixedRegistration(store), chunkChars = 100)
             store.failWrites(CallFault.NONE, CallFault.UNREACHABLE, CallFault.NONE, CallFault.LOST_RESPONSE)
             val created = chunkedCreator.create(record, ownership("n1"), retriesFor(10_000)) as CreateOutcome.Created
             expectThat(batches.items(id, created.record.ownership).get()).isEqualTo(record)
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
@@ -53,7 +53,7 @@
         val record = fixture.record("b", 2)
         val ownership = BatchOwnership(NodeId("self"), 1, "n", 0, 2, 0, fixture.route.name, false)
         val requested = RetrySchedule(ManualClock(), Random(1), Long.MAX_VALUE)
-        val created = BatchCreator(store, CHUNK_CHARS).create(record, ownership, requested)
+        val created = BatchCreator(store, FixedRegistration(store), CHUNK_CHARS).create(record, ownership, requested)
         val clock = ManualClock()
         val policy = OwnershipPolicy(BatchSettings().endMillis)
         val known = KnownOwnership((created as CreateOutcome.Created).record, clock, policy, clock.read())
