A creator that was paused does not take the record of another owner for its own

Cause: a creation that was declined because the batch exists counted as made by this process if the record had its nonce, also if another process had adopted the batch meanwhile. The owner that each check compares with, and the revision that fences appends, were then those of the other process: both ran the batch and appended under one revision.

Change: a creation counts as made only if the record still names this process, in its incarnation. Checks compare with the process itself. If a position is taken although the record is unchanged, another process appends under it (one of an older build); the batch is given up and adopted again, under a new revision.

Ruled out: an old proof of ownership.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchCreator.kt
@@ -126,7 +126,8 @@
             is TransactionOutcome.Committed -> CreateOutcome.Created(OwnershipRecord(requested, outcome.revision))
             is TransactionOutcome.Declined -> {
                 val stored = outcome.read.firstOrNull { it.key == key }?.let { ownershipRecordOf(it) }
-                val ours = stored?.ownership?.nonce == requested.nonce
+                // Another process may have adopted the batch since an earlier attempt created it.
+                val ours = stored?.ownership?.let { it.nonce == requested.nonce && it.hasOwnerOf(requested) } ?: false
                 stored?.let { if (ours) CreateOutcome.Created(it) else CreateOutcome.Existed(it) }
             }
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -56,18 +56,6 @@
     private val runner = ItemRunner(dependencies.shared, settings.silenceMillis, paces)
     private val mover = ItemMover(dependencies.shared, paces)
     private val loopScope = CoroutineScope(scope.coroutineContext + loop)
-    internal val ownedBatches =
-        OwnedBatches(
-            loopScope,
-            store,
-            dependencies.shared,
-            settings,
-            { onItemEnded -> ItemDispatcher(loopScope, dependencies.shared, runner, mover, onItemEnded) },
-            { onItemDone ->
-                val caller = RewardCaller(dependencies.forwarder, dependencies.shared)
-                RewardDispatcher(loopScope, dependencies.shared, caller, settings.rewards, onItemDone)
-            },
-        )
     private val orphanWatch =
         object : OrphanWatch {
             override fun unconfirmed(id: BatchId) = orphanAdopter.unconfirmed(id)
@@ -77,6 +65,23 @@
                 ownership: BatchOwnership,
             ) = orphanAdopter.ownershipRead(id, ownership)
         }
+    internal val ownedBatches =
+        OwnedBatches(
+            loopScope,
+            store,
+            dependencies.shared,
+            settings,
+            orphanWatch,
+            object : OwnedBatches.DispatcherFactory {
+                override fun items(onItemEnded: (OwnedBatch) -> Unit) =
+                    ItemDispatcher(loopScope, dependencies.shared, runner, mover, onItemEnded)
+
+                override fun rewards(onItemEnded: (OwnedBatch) -> Unit): RewardDispatcher {
+                    val caller = RewardCaller(dependencies.forwarder, dependencies.shared)
+                    return RewardDispatcher(loopScope, dependencies.shared, caller, settings.rewards, onItemEnded)
+                }
+            },
+        )
     private val remoteBatches = RemoteBatches(dependencies, store, settings.pageChars, orphanWatch)
     private val localSubmissions: LocalSubmissions =
         LocalSubmissions(loopScope, dependencies, settings, ownedBatches, remoteBatches, orphanWatch)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/CreateOutcome.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/CreateOutcome.kt
@@ -5,10 +5,10 @@
  * `submissions`.
  */
 internal sealed interface CreateOutcome {
-    /** This call created the batch. */
+    /** This call created the batch, and this process still owns it. */
     data class Created(val record: OwnershipRecord) : CreateOutcome
 
-    /** The batch existed before. */
+    /** The batch existed before, or another process owns it by now. */
     data class Existed(val record: OwnershipRecord) : CreateOutcome
 
     /** This call has not created the batch, and none of its writes can still do so. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
@@ -2,13 +2,15 @@
 
 import bergamotwall.decisions.batches.OwnershipDemand
 import bergamotwall.decisions.batches.OwnershipPolicy
+import bergamotwall.model.BatchOwnership
 import bergamotwall.runtime.Clock
 import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.read
 
 /**
- * The ownership [record] of a batch as this process knows it, and how long ago it was known to be unchanged. [provenAt]
- * is when the call that created or claimed the batch was sent. Confined to the batch loop.
+ * The ownership [record] of a batch as this process knows it, and how long ago it was known to be unchanged. The first
+ * one was written by this process; [provenAt] is when the call that created or claimed the batch was sent. Confined to
+ * the batch loop.
  */
 internal class KnownOwnership(
     var record: OwnershipRecord,
@@ -16,6 +18,7 @@
     private val policy: OwnershipPolicy,
     private var provenAt: ClockReading,
 ) {
+    private val claimed = record.ownership
     private var failedAt: ClockReading? = null
 
     private val failureAgeMillis: Long? get() = failedAt?.let { ageMillis(it) }
@@ -36,6 +39,9 @@
     /** Duration of a check after which it counts as failed. */
     val checkTimeoutMillis: Long get() = policy.checkTimeoutMillis
 
+    /** Whether [stored] names this process as the owner. */
+    fun isOwnerIn(stored: BatchOwnership): Boolean = stored.hasOwnerOf(claimed)
+
     /** The current moment, to be taken before a call that may confirm the record. */
     fun now(): ClockReading = clock.read()
 
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -21,23 +21,43 @@
     private val store: BatchStore,
     private val dependencies: TargetDependencies,
     private val settings: BatchSettings,
-    dispatcherOf: ((OwnedBatch) -> Unit) -> ItemDispatcher,
-    rewardDispatcherOf: ((OwnedBatch) -> Unit) -> RewardDispatcher,
+    private val orphanWatch: OrphanWatch,
+    dispatchers: DispatcherFactory,
 ) {
+    /** Creates dispatchers, which call `onItemEnded` with the batch of each item that has ended. */
+    interface DispatcherFactory {
+        /** Creates the dispatcher of items to targets. */
+        fun items(onItemEnded: (OwnedBatch) -> Unit): ItemDispatcher
+
+        /** Creates the dispatcher of reward calls. */
+        fun rewards(onItemEnded: (OwnedBatch) -> Unit): RewardDispatcher
+    }
+
     /** The batches that this process holds in memory. */
     val retained = RetainedBatches(settings.retainedChars)
     private val policy = OwnershipPolicy(settings.endMillis)
     private val checks: OwnershipChecks =
         OwnershipChecks(scope, store, retained::all, ::ownershipRead, onFailed = ::wake, dependencies.isLargeFleet)
     private val resultAppender: ResultAppender =
-        ResultAppender(scope, store, settings, ::ownershipRead, onTextsStored = { rewardDispatcher.wake() })
+        ResultAppender(
+            scope,
+            store,
+            settings,
+            ::ownershipRead,
+            onPositionTaken = { batch ->
+                // The record of the next adoption fences the other process, whose results are read then.
+                relinquish(batch, "another process appended results")
+                orphanWatch.unconfirmed(batch.record.id)
+            },
+            onTextsStored = { rewardDispatcher.wake() },
+        )
 
     /** Pages of the results of owned batches. */
     val pages = ResultPages(checks, settings.pageChars)
 
     /** Sends the items of the owned batches. */
-    val dispatcher = dispatcherOf(::itemEnded)
-    private val rewardDispatcher: RewardDispatcher = rewardDispatcherOf(::itemEnded)
+    val dispatcher = dispatchers.items(::itemEnded)
+    private val rewardDispatcher: RewardDispatcher = dispatchers.rewards(::itemEnded)
 
     /** Whether any batch has neither ended nor been relinquished. May be read by any thread. */
     @Volatile
@@ -135,7 +155,7 @@
         // The record was read before this process wrote the one that it knows.
         if (stored != null && stored.revision < own.revision) return
         val owner = stored?.ownership
-        if (owner == null || owner.owner != own.ownership.owner || owner.incarnation != own.ownership.incarnation) {
+        if (owner == null || !batch.known.isOwnerIn(owner)) {
             if (!batch.relinquished) relinquish(batch, "owned by ${owner?.owner?.value}")
         } else {
             batch.known.confirmed(sentAt)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/ResultAppender.kt
@@ -11,14 +11,15 @@
 /**
  * Stores results of owned batches, and texts that are to be scored, durably, in one call for those that complete within
  * `gatherMillis`. Calls [onRecordRead] with the ownership record, null if there is none, and the time at which it was
- * requested, if the record was changed; and [onTextsStored] when texts may be scored. Confined to the batch loop, on
- * which [scope] runs.
+ * requested, if an append was declined; [onPositionTaken] if it was declined although the record is unchanged; and
+ * [onTextsStored] when texts may be scored. Confined to the batch loop, on which [scope] runs.
  */
 internal class ResultAppender(
     private val scope: CoroutineScope,
     private val store: BatchStore,
     private val settings: BatchSettings,
     private val onRecordRead: (OwnedBatch, OwnershipRecord?, ClockReading) -> Unit,
+    private val onPositionTaken: (OwnedBatch) -> Unit,
     private val onTextsStored: () -> Unit = { },
 ) {
     private val appending = HashSet<BatchId>()
@@ -56,7 +57,8 @@
         while (batch.active) {
             // Readers see no texts that wait for their scores.
             batch.appendUnresolved = append.results.isNotEmpty()
-            when (store.append(batch.record.id, batch.known.record.revision, append)) {
+            val revision = batch.known.record.revision
+            when (store.append(batch.record.id, revision, append)) {
                 AppendOutcome.APPENDED -> {
                     batch.appendUnresolved = false
                     batch.markStored(append)
@@ -65,7 +67,7 @@
                 }
                 AppendOutcome.FENCED -> {
                     batch.appendUnresolved = false
-                    return handleFenced(batch)
+                    return handleFenced(batch, revision)
                 }
                 AppendOutcome.UNKNOWN -> delay(
                     minOf(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS shl minOf(retries++, MAX_SHIFT))
@@ -84,10 +86,14 @@
         }
     }
 
-    private suspend fun handleFenced(batch: OwnedBatch) {
+    private suspend fun handleFenced(
+        batch: OwnedBatch,
+        revision: Long,
+    ) {
         val sentAt = batch.known.now()
         val stored = store.ownership(batch.record.id).getOrElse { return delay(FIRST_RETRY_MILLIS) }
         onRecordRead(batch, stored, sentAt)
+        if (batch.active && stored?.revision == revision) onPositionTaken(batch)
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/ResultReadBeforeIsMissingTest.kt
@@ -32,7 +32,7 @@
         fixture.use {
             runTest {
                 val batch = ownedBatch()
-                val appender = ResultAppender(backgroundScope, BatchStore(store), BatchSettings(), { _, _, _ -> })
+                val appender = ResultAppender(backgroundScope, BatchStore(store), BatchSettings(), { _, _, _ -> }, { })
                 batch.generated(batch.items.values.first())
                 store.failWrites(CallFault.LOST_RESPONSE)
                 appender.scheduleAppend(batch)
--- a/model/src/main/kotlin/bergamotwall/model/BatchOwnership.kt
+++ b/model/src/main/kotlin/bergamotwall/model/BatchOwnership.kt
@@ -22,4 +22,7 @@
     val route: String,
     val ended: Boolean = false,
     @EncodeDefault(EncodeDefault.Mode.NEVER) val workspace: WorkspaceName? = null,
-)
+) {
+    /** Whether the owner is the same process, in the same incarnation, as in [other]. */
+    public fun hasOwnerOf(other: BatchOwnership): Boolean = owner == other.owner && incarnation == other.incarnation
+}
