Go on storing the end of a batch when the key-value service was silent

Cause: the owner kept an end that could not be stored within batches.acceptMillis in memory only, an entry that is not the owner nowhere, and none tried again.

A shutdown waits for it for batches.acceptMillis. An end that was stored is not read back.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/Batches.kt
@@ -163,11 +163,7 @@
             val owned = ownedBatches.find(batch)
             if (owned != null) return@withContext ownedBatches.end(owned)
             val response = remoteBatches.requestFromOwner(batch, EndBatch(batch), settings.acceptMillis)
-            if (response == Done) {
-                EndOutcome.Ended
-            } else {
-                remoteBatches.end(batch, dependencies.newRetrySchedule(settings.acceptMillis))
-            }
+            if (response == Done) EndOutcome.Ended else ownedBatches.ends.store(batch) { remoteBatches.end(batch) }
         }
 
     /** Returns the response to [message] of another process, or null if the message is not about batches. */
@@ -189,14 +185,12 @@
     /**
      * Stops all runs of this process, so that other processes can adopt its batches. Must not be called while new
      * submissions can still arrive. Waits for submissions in progress, because other processes may search for orphans
-     * only once.
+     * only once, and for a while for ends that are not stored yet, because others would go on with those batches.
      */
     public suspend fun release(): Unit =
         withContext(loop) {
             localSubmissions.awaitCompletion()
+            ownedBatches.ends.awaitCompletion()
             ownedBatches.active.forEach { ownedBatches.relinquish(it, "this process releases its batches") }
         }
 }
-
-private fun BatchDependencies.newRetrySchedule(timeoutMillis: Long) =
-    RetrySchedule(shared.clock, shared.random, shared.clock.monotonicMillis() + timeoutMillis)
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/KnownOwnership.kt
@@ -19,6 +19,9 @@
     private var provenAt: ClockReading,
 ) {
     private val claimed = record.ownership
+
+    /** Whether the record was absent when it was last read. */
+    var removed = false
     private var failedAt: ClockReading? = null
 
     private val failureAgeMillis: Long? get() = failedAt?.let { ageMillis(it) }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/OwnedBatches.kt
@@ -1,14 +1,12 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.decisions.batches.OwnershipPolicy
-import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.gateway.rewards.RewardDispatcher
 import bergamotwall.gateway.routes.RouteTable
 import bergamotwall.gateway.targets.TargetDependencies
 import bergamotwall.model.BatchId
 import bergamotwall.runtime.ClockReading
 import bergamotwall.runtime.Decision
-import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 
 /**
@@ -33,6 +31,9 @@
         fun rewards(onItemEnded: (OwnedBatch) -> Unit): RewardDispatcher
     }
 
+    /** Stores the ends of batches. */
+    val ends = BatchEnds(scope, dependencies.clock, dependencies.random, settings.acceptMillis)
+
     /** The batches that this process holds in memory. */
     val retained = RetainedBatches(settings.retainedChars)
     private val policy = OwnershipPolicy(settings.endMillis)
@@ -118,31 +119,7 @@
     suspend fun end(batch: OwnedBatch): EndOutcome {
         if (!batch.ended) stopRuns(batch, "ended by its trainer")
         batch.ended = true
-        val retries =
-            RetrySchedule(
-                dependencies.clock,
-                dependencies.random,
-                dependencies.clock.monotonicMillis() + settings.acceptMillis,
-            )
-        while (retries.awaitNext()) {
-            if (batch.known.record.ownership.ended) return EndOutcome.Ended
-            val ended = batch.known.record.ownership.copy(ended = true)
-            val outcome = store.replace(batch.record.id, batch.known.record, ended)
-            outcome.fold(
-                success = {
-                    if (it is TransactionOutcome.Committed) {
-                        batch.known.record = batch.known.record.copy(ownership = ended, revision = it.revision)
-                    }
-                },
-                failure = { },
-            )
-            if (!batch.known.record.ownership.ended) checks.check(batch)
-        }
-        return if (batch.known.record.ownership.ended) {
-            EndOutcome.Ended
-        } else {
-            EndOutcome.Unavailable("the end is not stored durably yet")
-        }
+        return ends.store(batch.record.id) { batch.storeEnd(store, checks) }
     }
 
     /** Applies the ownership record of [batch] as [stored], requested at [sentAt]. */
@@ -160,6 +137,7 @@
         } else {
             batch.known.confirmed(sentAt)
         }
+        batch.known.removed = stored == null
         if (stored == null) return
         batch.known.record = stored
         if (stored.ownership.ended && batch.active) {
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -1,6 +1,7 @@
 package bergamotwall.gateway.batches
 
 import bergamotwall.drivers.KeyValueError
+import bergamotwall.drivers.TransactionOutcome
 import bergamotwall.model.BatchId
 import bergamotwall.model.BatchOwnership
 import bergamotwall.model.ItemId
@@ -109,22 +110,25 @@
             .andThen { stored -> if (stored == null) Ok(ReadOutcome.Absent) else read(stored) }
             .fold({ it }, { ReadOutcome.Unavailable(it.detail) })
 
-    /** Marks [batch] as ended in the key-value service. */
-    suspend fun end(
-        batch: BatchId,
-        retries: RetrySchedule,
-    ): EndOutcome {
-        var outcome: EndOutcome = EndOutcome.Unavailable("the key-value service did not respond in time")
-        while (outcome is EndOutcome.Unavailable && retries.awaitNext()) {
-            readOwnership(batch).onSuccess { stored ->
+    /** Tries to mark [batch] as ended in the key-value service; returns null if that is not known to have succeeded. */
+    suspend fun end(batch: BatchId): EndOutcome? =
+        readOwnership(batch).fold(
+            success = { stored ->
                 when {
-                    stored == null -> outcome = EndOutcome.Absent
-                    stored.ownership.ended -> outcome = EndOutcome.Ended
-                    else -> store.replace(batch, stored, stored.ownership.copy(ended = true))
+                    stored == null -> EndOutcome.Absent
+                    stored.ownership.ended -> EndOutcome.Ended
+                    else -> storeEnd(batch, stored)
                 }
-            }
-        }
-        return outcome
+            },
+            failure = { null },
+        )
+
+    private suspend fun storeEnd(
+        batch: BatchId,
+        stored: OwnershipRecord,
+    ): EndOutcome? {
+        val outcome = store.replace(batch, stored, stored.ownership.copy(ended = true)).get()
+        return EndOutcome.Ended.takeIf { outcome is TransactionOutcome.Committed }
     }
 
     private companion object {
