Withdraw a batch that is ended before it is stored

Cause: the absence of a record was taken for the absence of the batch, although the write that creates it could still be carried out.

Change: such an end stores a record in the place of the batch's own, on the condition that there is none, so that the creation is declined. The answer stays 404; the submission is refused if it comes again.

--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchOutcomes.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/BatchOutcomes.kt
@@ -37,7 +37,7 @@
     /** The end is stored durably. */
     public data object Ended : EndOutcome
 
-    /** The batch does not exist. */
+    /** The batch does not exist, and no creation that is under way can store it any more. */
     public data object Absent : EndOutcome
 
     /** The end could not be stored durably; the caller may retry. */
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/LocalSubmissions.kt
@@ -141,17 +141,27 @@
         return if (foreign) SubmitOutcome.Foreign else SubmitOutcome.Accepted
     }
 
+    /** The outcome of submitting [record] when [stored] is in the key-value service. */
+    private fun outcomeOfStored(
+        record: BatchRecord,
+        stored: OwnershipRecord,
+    ): SubmitOutcome {
+        val ownership = stored.ownership
+        if (ownership.withdrawn) {
+            return SubmitOutcome.Refused("the batch was ended before it was stored", RETRY_AFTER_MILLIS)
+        }
+        remoteBatches.rememberOwner(record.id, ownership)
+        orphanWatch.ownershipRead(record.id, ownership)
+        return outcomeOfExisting(record, ownership)
+    }
+
     private fun outcomeOf(
         record: BatchRecord,
         outcome: CreateOutcome,
     ): SubmitOutcome =
         when (outcome) {
             is CreateOutcome.Created -> SubmitOutcome.Accepted
-            is CreateOutcome.Existed -> {
-                remoteBatches.rememberOwner(record.id, outcome.record.ownership)
-                orphanWatch.ownershipRead(record.id, outcome.record.ownership)
-                outcomeOfExisting(record, outcome.record.ownership)
-            }
+            is CreateOutcome.Existed -> outcomeOfStored(record, outcome.record)
             is CreateOutcome.NotCreated -> SubmitOutcome.Refused(outcome.detail, RETRY_AFTER_MILLIS)
             is CreateOutcome.Unknown -> SubmitOutcome.Unknown(outcome.detail)
         }
--- a/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
+++ b/gateway/src/main/kotlin/bergamotwall/gateway/batches/RemoteBatches.kt
@@ -30,6 +30,7 @@
     private val orphanWatch: OrphanWatch,
 ) {
     private val owners = ConcurrentHashMap<BatchId, BatchOwnership>()
+    private val withdrawal = BatchWithdrawal(dependencies)
 
     /** Caches the owner of [batch]. */
     fun rememberOwner(
@@ -58,7 +59,11 @@
     /** Ownership of [batch] as last known, null if the batch does not exist. */
     suspend fun ownership(batch: BatchId): Result<BatchOwnership?, KeyValueError> =
         owners[batch]?.let { Ok(it) }
-            ?: readOwnership(batch).map { stored -> stored?.ownership?.also { owners[batch] = it } }
+            ?: readExisting(batch).map { stored -> stored?.ownership?.also { owners[batch] = it } }
+
+    /** The record of [batch], null if there is none or the batch was withdrawn. */
+    private suspend fun readExisting(batch: BatchId): Result<OwnershipRecord?, KeyValueError> =
+        readOwnership(batch).map { stored -> stored?.takeUnless { it.ownership.withdrawn } }
 
     private suspend fun readOwnership(batch: BatchId): Result<OwnershipRecord?, KeyValueError> =
         store.ownership(batch).onSuccess { stored -> stored?.let { orphanWatch.ownershipRead(batch, it.ownership) } }
@@ -106,16 +111,20 @@
         batch: BatchId,
         read: suspend (OwnershipRecord) -> Result<ReadOutcome, KeyValueError>,
     ): ReadOutcome =
-        readOwnership(batch)
+        readExisting(batch)
             .andThen { stored -> if (stored == null) Ok(ReadOutcome.Absent) else read(stored) }
             .fold({ it }, { ReadOutcome.Unavailable(it.detail) })
 
-    /** Tries to mark [batch] as ended in the key-value service; returns null if that is not known to have succeeded. */
+    /**
+     * Tries to mark [batch] as ended in the key-value service, or to withdraw it if it is not stored; returns null if
+     * that is not known to have succeeded.
+     */
     suspend fun end(batch: BatchId): EndOutcome? =
         readOwnership(batch).fold(
             success = { stored ->
                 when {
-                    stored == null -> EndOutcome.Absent
+                    stored == null -> EndOutcome.Absent.takeIf { withdrawal.withdraw(batch) }
+                    stored.ownership.withdrawn -> EndOutcome.Absent
                     stored.ownership.ended -> EndOutcome.Ended
                     else -> storeEnd(batch, stored)
                 }
--- a/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
+++ b/gateway/src/test/kotlin/bergamotwall/gateway/batches/BatchFixture.kt
@@ -90,6 +90,9 @@
     /** Number of listings of all batches. */
     var searches = 0
 
+    /** Number of writes. */
+    var writes = 0
+
     /** Number of reads of single keys. */
     var reads = 0
 
@@ -140,6 +143,7 @@
             }
 
             override suspend fun commit(transaction: Transaction): Result<TransactionOutcome, KeyValueError> {
+                writes++
                 return if (writesFail) {
                     unavailable
                 } else if (isTooLarge(transaction)) {
