Model of batches: registrations, losses, creations that take effect unseen

New assertions LossIsNoticed and OneOwner; LossIsNoticed fails without the condition on the registration of the creator or of the adopter, OneOwner without the check of the owner. The assertions and guards of before are unchanged.

--- a/spec/src/test/kotlin/bergamotwall/spec/ProtocolModelTest.kt
+++ b/spec/src/test/kotlin/bergamotwall/spec/ProtocolModelTest.kt
@@ -53,6 +53,9 @@
         "batches, ListedOnce, an item is listed once, absent",
         "batches, RefusalIsTrue, reported as not run only if not run, settled",
         "batches, AcceptedIsKept, an accepted batch is stored, durable",
+        "batches, LossIsNoticed, the loss of an owner is noticed, registered",
+        "batches, LossIsNoticed, the loss of an owner is noticed, adopter",
+        "batches, OneOwner, a batch has one owner, owner",
     )
     fun `assertions hold, and fail without their guard`(
         name: String,
